--- /dev/null
+++ b/src/lab/agenda.hpp
@@ -0,0 +1,45 @@
+// Events to come, in order of time; what falls on the same moment keeps the order in which it was entered.
+#pragma once
+
+#include <cstdint>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "ochrehill/ochrehill.hpp"
+
+namespace fennelridge::lab {
+
+using ochrehill::Duration;
+using ochrehill::Time;
+
+inline constexpr Time kNever = Time::max();
+
+inline Duration fromSeconds(double s) { return Duration(static_cast<Duration::rep>(s * 1e9)); }
+inline Duration fromMillis(double ms) { return fromSeconds(ms / 1e3); }
+inline double toSeconds(Duration d) { return static_cast<double>(d.count()) / 1e9; }
+
+template <class Event>
+class Agenda {
+ public:
+  void add(Time at, Event event) { heap_.push({at, next_++, std::move(event)}); }
+  Time nextAt() const { return heap_.empty() ? kNever : heap_.top().at; }
+  Event take() {  // not on an empty one
+    Event event = std::move(heap_.top().event);
+    heap_.pop();
+    return event;
+  }
+  std::size_t size() const { return heap_.size(); }
+
+ private:
+  struct Entry {
+    Time at;
+    std::uint64_t number;
+    Event event;
+    bool operator<(const Entry& o) const { return at != o.at ? at > o.at : number > o.number; }
+  };
+  std::priority_queue<Entry> heap_;
+  std::uint64_t next_ = 0;
+};
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/clients.cpp
@@ -0,0 +1,80 @@
+#include "lab/clients.hpp"
+
+#include <algorithm>
+
+namespace fennelridge::lab {
+
+Clients::Clients(const Scenario& s, std::uint64_t seed, Time start, Tally& tally)
+    : scenario_(s), tally_(tally), random_(seed, "clients"), start_(start) {
+  share_ = s.clients.tryShare.draw(random_);
+  backoff_ = s.clients.backoffMs.draw(random_) / 1e3;
+}
+
+Clients::WishId Clients::wish(const FirstTry& first) {
+  if (free_.empty()) {
+    free_.push_back(static_cast<WishId>(wishes_.size()));
+    wishes_.emplace_back();
+  }
+  const WishId id = free_.back();
+  free_.pop_back();
+  ++open_;
+  const ClassSpec& c = scenario_.classes[first.cls];
+  Wish& w = wishes_[id] = Wish{};
+  w.first = first;
+  w.deadline = first.at + fromMillis(c.giveUpMs);
+  w.honours = random_.chance(scenario_.clients.honour);
+  w.share = share_;
+  w.backoff = backoff_;
+  w.worth = c.worth * first.work;  // worth counts for each unit of work; BRIEF 4.2
+  tally_.wish(first.cls, w.worth, first.at - start_);
+  return id;
+}
+
+Clients::TryPlan Clients::beginTry(Time now, WishId id) {
+  Wish& w = wishes_[id];
+  ++w.tries;
+  ++tally_.classes[w.first.cls].tries;
+  const Duration whole = fromMillis(scenario_.classes[w.first.cls].giveUpMs);
+  TryPlan plan;
+  plan.limit = std::min(Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * w.share)),
+                        w.deadline - now);
+  if (random_.chance(scenario_.clients.impatient))
+    plan.leaves =
+        Duration(static_cast<Duration::rep>(static_cast<double>(plan.limit.count()) * random_.unit()));
+  return plan;
+}
+
+// Clients repeat what is safe after any failure, what hosts drop anywhere likewise, and anything else only
+// where nothing can have run. Source: WIRE, "What clients do".
+bool Clients::mayComeAgain(const Wish& w, TryEnd end) const {
+  if (end == TryEnd::served || w.tries > scenario_.clients.retries) return false;
+  const ClassSpec& c = scenario_.classes[w.first.cls];
+  if (end == TryEnd::refused || end == TryEnd::unreachable) return true;
+  return c.effect == "retryable" || (c.effect == "dedup" && c.group == "all");
+}
+
+std::optional<Duration> Clients::endTry(Time now, WishId id, TryEnd end, Duration retryAfter) {
+  Wish& w = wishes_[id];
+  const ClassSpec& c = scenario_.classes[w.first.cls];
+  if (end == TryEnd::refused) tally_.refusal(w.first.cls, now - start_);
+  if (mayComeAgain(w, end)) {
+    double wait =
+        w.backoff * static_cast<double>(1u << std::min(w.tries - 1, 10u)) * random_.between(0.5, 1.5);
+    if (end == TryEnd::refused && w.honours) {
+      const Duration heeded = std::min(retryAfter, fromMillis(scenario_.limits.maxRetryAfterMs));
+      wait = std::max(wait, toSeconds(heeded));
+    }
+    if (now + fromSeconds(wait) < w.deadline) return fromSeconds(wait);
+  }
+  const Duration taken = now - w.first.at;
+  Fate fate = Fate::failed;
+  if (end == TryEnd::served) fate = taken <= fromMillis(c.aimMs) ? Fate::inTime : Fate::late;
+  else if (end == TryEnd::refused) fate = Fate::refused;
+  else if (end == TryEnd::unanswered || end == TryEnd::unreachable) fate = Fate::unanswered;
+  tally_.fate(w.first.cls, w.worth, w.first.at - start_, fate, c.lateShare, taken);
+  free_.push_back(id);
+  --open_;
+  return std::nullopt;
+}
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/clients.hpp
@@ -0,0 +1,59 @@
+// The clients' side: what they wish, how long they wait, when they come again. Pure; the virtual fleet and
+// the load tool both ask it. A wish is what a client wants done; a try is one request for it.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "lab/agenda.hpp"
+#include "lab/random.hpp"
+#include "lab/scenario.hpp"
+#include "lab/tally.hpp"
+#include "lab/traffic.hpp"
+
+namespace fennelridge::lab {
+
+enum class TryEnd { served, refused, failed, unanswered, unreachable };  // unreachable: no gateway took it
+
+class Clients {
+ public:
+  Clients(const Scenario& scenario, std::uint64_t seed, Time start, Tally& tally);
+
+  using WishId = std::uint32_t;  // given out again once the wish is over
+  WishId wish(const FirstTry& first);
+  const FirstTry& what(WishId wish) const { return wishes_[wish].first; }
+
+  // A try sets out: how long its client will wait. `leaves`: it will go away after that time without a word.
+  struct TryPlan {
+    Duration limit{};
+    std::optional<Duration> leaves;
+  };
+  TryPlan beginTry(Time now, WishId wish);
+
+  // What became of the try. The wait until the next one, or none: the wish is over and its id is free.
+  std::optional<Duration> endTry(Time now, WishId wish, TryEnd end, Duration retryAfter);
+
+  std::size_t open() const { return open_; }
+
+ private:
+  struct Wish {
+    FirstTry first;
+    Time deadline{};
+    unsigned tries = 0;
+    bool honours = false;
+    double share = 0.5, backoff = 0.1, worth = 0;
+  };
+  bool mayComeAgain(const Wish& wish, TryEnd end) const;
+
+  const Scenario& scenario_;
+  Tally& tally_;
+  Random random_;
+  Time start_;
+  double share_, backoff_;
+  std::vector<Wish> wishes_;
+  std::vector<WishId> free_;
+  std::size_t open_ = 0;
+};
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/commands.cpp
@@ -0,0 +1,333 @@
+#include "lab/commands.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "lab/experiment.hpp"
+#include "lab/progress_bar.hpp"
+#include "lab/virtual_fleet.hpp"
+
+namespace fennelridge::lab {
+namespace {
+
+using ordered = nlohmann::ordered_json;
+
+struct RunOptions {
+  std::string scenario, out;
+  std::vector<std::string> set;
+  unsigned seeds = 10, jobs = std::max(1u, std::thread::hardware_concurrency());
+  std::uint64_t first = 1;
+  bool json = false, full = false;
+};
+
+void addRunOptions(CLI::App& command, RunOptions& o) {
+  command.add_option("scenario", o.scenario, "scenario file")->required();
+  command.add_option("--seeds", o.seeds, "days to play, a seed each")->check(CLI::Range(1, 1000000));
+  command.add_option("--first", o.first, "first seed");
+  command.add_option("--jobs", o.jobs, "days at a time; does not change the result")
+      ->check(CLI::Range(1, 1024));
+  command.add_option("--set", o.set, "set a field first, such as clients.load=0.9 (may be repeated)");
+  command.add_flag("--json", o.json, "print JSON");
+}
+
+ordered resultsOf(const Scenario& scenario, const std::vector<DayResult>& days, bool full) {
+  ordered out{{"scenario", scenario.name}, {"days", ordered::array()}};
+  for (const DayResult& day : days) out["days"].push_back(toJson(day, full));
+  return out;
+}
+
+void writeFile(const std::string& path, const std::string& text) {
+  std::ofstream file(path, std::ios::binary);
+  file << text;
+  file.close();
+  if (!file) throw BadInput(path + ": cannot be written");
+}
+
+std::string brokenRules(const DayResult& day) {
+  std::string text;
+  for (std::size_t i = 0; i < kRules; ++i)
+    if (day.breaches[i] > 0)
+      text += (text.empty() ? "" : ", ") + std::string(nameOf(static_cast<Rule>(i))) + " x" +
+              std::to_string(day.breaches[i]);
+  return text.empty() ? "-" : text;
+}
+
+void printDays(const std::vector<DayResult>& days) {
+  std::printf("%8s %8s %8s %8s %8s %8s  %s\n", "seed", "service", "in time", "window", "class", "wasted",
+              "rules broken");
+  double service = 0, inTime = 0, window = 0, cls = 0, wasted = 0;
+  for (const DayResult& d : days) {
+    std::printf("%8llu %8.3f %8.3f %8.3f %8.3f %8.3f  %s\n", static_cast<unsigned long long>(d.seed),
+                d.service(), d.inTime(), d.worstWindow(), d.worstClass(), d.wasted(), brokenRules(d).c_str());
+    const auto n = static_cast<double>(days.size());
+    service += d.service() / n, inTime += d.inTime() / n, window += d.worstWindow() / n;
+    cls += d.worstClass() / n, wasted += d.wasted() / n;
+  }
+  std::printf("%8s %8.3f %8.3f %8.3f %8.3f %8.3f\n", "mean", service, inTime, window, cls, wasted);
+  for (const DayResult& d : days)
+    for (const Breach& b : d.firstBreaches)
+      std::printf("RULE BROKEN, seed %llu, at %.3f s, gateway %u: %s: %s\n",
+                  static_cast<unsigned long long>(d.seed), toSeconds(b.at), b.gateway,
+                  std::string(nameOf(b.rule)).c_str(), b.what.c_str());
+}
+
+std::vector<DayResult> play(const Scenario& scenario, const RunOptions& o, const std::string& what) {
+  ProgressBar bar(what);
+  return playDays(scenario, o.first, o.seeds, o.jobs, makeBalancer, bar.callback());
+}
+
+void printDifferences(const std::vector<Difference>& differences, bool json) {
+  if (json) {
+    ordered out = ordered::array();
+    for (const Difference& d : differences)
+      out.push_back({{"figure", d.figure},
+                     {"mean_a", d.meanA},
+                     {"mean_b", d.meanB},
+                     {"difference", d.mean},
+                     {"low", d.low},
+                     {"high", d.high},
+                     {"pairs", d.pairs},
+                     {"noise", d.noise()}});
+    std::cout << out.dump(1) << '\n';
+    return;
+  }
+  std::printf("%-14s %8s %8s %9s   %-20s %s\n", "figure", "A", "B", "B - A", "95 % interval", "verdict");
+  for (const Difference& d : differences) {
+    char interval[64];
+    std::snprintf(interval, sizeof interval, "[%+.4f, %+.4f]", d.low, d.high);
+    std::printf("%-14s %8.4f %8.4f %+9.4f   %-20s %s\n", d.figure.c_str(), d.meanA, d.meanB, d.mean, interval,
+                d.noise()    ? "noise"
+                : d.mean > 0 ? "B higher"
+                             : "B lower");
+  }
+}
+
+// Results of another build: its own `run --json`. The program is started without a shell's help in its words.
+ordered resultsFrom(const std::string& source, const RunOptions& o, const std::vector<std::string>& set) {
+  std::ifstream file(source);
+  if (!file) throw BadInput(source + ": cannot be read");
+  if (source.size() > 5 && source.ends_with(".json")) {
+    const ordered parsed = ordered::parse(file, nullptr, false);
+    if (parsed.is_discarded()) throw BadInput(source + ": is not JSON");
+    return parsed;
+  }
+  if (o.scenario.empty()) throw BadInput(source + ": a program needs --scenario to play");
+  const auto quoted = [](const std::string& word) {
+    std::string text = "'";
+    for (char c : word) text += c == '\'' ? std::string("'\\''") : std::string(1, c);
+    return text + "'";
+  };
+  std::string command = quoted(std::filesystem::absolute(source).string()) + " run " + quoted(o.scenario) +
+                        " --seeds " + std::to_string(o.seeds) + " --first " + std::to_string(o.first) +
+                        " --jobs " + std::to_string(o.jobs) + " --json";
+  for (const std::string& s : set) command += " --set " + quoted(s);
+  std::FILE* pipe = popen(command.c_str(), "r");
+  if (!pipe) throw BadInput(source + ": cannot be started");
+  std::string text;
+  char part[65536];
+  while (const std::size_t n = std::fread(part, 1, sizeof part, pipe)) text.append(part, n);
+  pclose(pipe);
+  const ordered parsed = ordered::parse(text, nullptr, false);
+  if (parsed.is_discarded()) throw BadInput(source + ": gave no results (does it know `run --json`?)");
+  return parsed;
+}
+
+}  // namespace
+
+Scenario openScenario(const std::string& path, const std::vector<std::string>& assignments) {
+  ScenarioReading reading;
+  if (assignments.empty()) {
+    reading = loadScenario(path);
+  } else {
+    std::ifstream file(path);
+    nlohmann::json json = nlohmann::json::parse(file, nullptr, false);
+    if (json.is_discarded()) reading = loadScenario(path);  // says what is wrong
+    else {
+      try {
+        for (const std::string& a : assignments) setField(json, a);
+      } catch (const std::invalid_argument& bad) {
+        throw BadInput(path + ": --set " + bad.what());
+      }
+      reading = readScenario(json);
+    }
+  }
+  std::string lines;
+  for (const Mistake& m : reading.mistakes)
+    lines += (lines.empty() ? "" : "\n") + path + ": " + (m.where.empty() ? "" : m.where + ": ") + m.what;
+  if (!lines.empty()) throw BadInput(lines);
+  return reading.scenario;
+}
+
+void addCheck(CLI::App& app, int&) {
+  auto* command = app.add_subcommand("check", "check scenario files; a line for each mistake, exit 2");
+  auto files = std::make_shared<std::vector<std::string>>();
+  command->add_option("files", *files, "scenario files")->required();
+  command->footer("Example:\n  fennelridge-lab check scenarios/*.json");
+  command->callback([files] {
+    std::string all;
+    for (const std::string& file : *files) try {
+        openScenario(file);
+      } catch (const BadInput& bad) {
+        all += (all.empty() ? "" : "\n") + std::string(bad.what());
+      }
+    if (!all.empty()) throw BadInput(all);
+    std::printf("%zu good\n", files->size());
+  });
+}
+
+void addFields(CLI::App& app, int&) {
+  auto* command = app.add_subcommand("fields", "the reference of all fields of a scenario, tab-separated");
+  auto json = std::make_shared<bool>(false);
+  command->add_flag("--json", *json, "print JSON");
+  command->footer("Example:\n  fennelridge-lab fields | grep hosts.crowding");
+  command->callback([json] {
+    const std::vector<FieldRow> rows = describeScenario();
+    if (*json) {
+      ordered out = ordered::array();
+      for (const FieldRow& r : rows)
+        out.push_back({{"section", r.section},
+                       {"field", r.name},
+                       {"unit", r.unit},
+                       {"bounds", r.bounds},
+                       {"default", r.standard},
+                       {"meaning", r.about}});
+      std::cout << out.dump(1) << '\n';
+      return;
+    }
+    std::cout << "section\tfield\tunit\tbounds\tdefault\tmeaning\n";
+    for (const FieldRow& r : rows)
+      std::cout << r.section << '\t' << r.name << '\t' << r.unit << '\t' << r.bounds << '\t' << r.standard
+                << '\t' << r.about << '\n';
+  });
+}
+
+void addRun(CLI::App& app, int& result) {
+  auto* command =
+      app.add_subcommand("run", "play days of a scenario in virtual time; exit 1 if a rule was broken");
+  auto o = std::make_shared<RunOptions>();
+  addRunOptions(*command, *o);
+  command->add_flag("--full", o->full, "with figures by second and host, for plots");
+  command->add_option("--out", o->out, "write the JSON to this file too");
+  command->footer(
+      "Examples:\n  fennelridge-lab run scenarios/rough.json --seeds 20\n"
+      "  fennelridge-lab run scenarios/quiet.json --seeds 5 --set clients.load=0.9 --json\n"
+      "  fennelridge-lab run scenarios/rough.json --first 7 --seeds 1 --full --out day7.json");
+  command->callback([o, &result] {
+    const Scenario scenario = openScenario(o->scenario, o->set);
+    const std::vector<DayResult> days = play(scenario, *o, scenario.name);
+    const ordered results = resultsOf(scenario, days, o->full);
+    if (!o->out.empty()) writeFile(o->out, results.dump(1) + "\n");
+    if (o->json) std::cout << results.dump(1) << '\n';
+    else printDays(days);
+    for (const DayResult& d : days)
+      if (!d.clean()) result = kNo;
+  });
+}
+
+void addCompare(CLI::App& app, int&) {
+  auto* command =
+      app.add_subcommand("compare", "two builds or two settings, paired by seed, with a bootstrap interval");
+  struct Options : RunOptions {
+    std::string a, b;
+    std::vector<std::string> setA, setB;
+  };
+  auto o = std::make_shared<Options>();
+  command->add_option("A", o->a, "results of `run --out FILE.json`, or another build of this program")
+      ->required();
+  command->add_option("B", o->b, "likewise")->required();
+  command->add_option("--scenario", o->scenario, "what programs play");
+  command->add_option("--seeds", o->seeds, "days to play")->check(CLI::Range(1, 1000000));
+  command->add_option("--first", o->first, "first seed");
+  command->add_option("--jobs", o->jobs, "days at a time")->check(CLI::Range(1, 1024));
+  command->add_option("--set-a", o->setA, "a field set for A");
+  command->add_option("--set-b", o->setB, "a field set for B");
+  command->add_flag("--json", o->json, "print JSON");
+  command->footer(
+      "Examples:\n  fennelridge-lab compare before.json after.json\n"
+      "  fennelridge-lab compare old/fennelridge-lab build/fennelridge-lab --scenario scenarios/rough.json "
+      "--seeds 40\n"
+      "  fennelridge-lab compare build/fennelridge-lab build/fennelridge-lab --scenario scenarios/rough.json "
+      "--set-b limits.second_copies=false");
+  command->callback([o] {
+    const ordered a = resultsFrom(o->a, *o, o->setA), b = resultsFrom(o->b, *o, o->setB);
+    try {
+      printDifferences(compareResults(a, b), o->json);
+    } catch (const std::invalid_argument& bad) {
+      throw BadInput(bad.what());
+    }
+  });
+}
+
+void addSweep(CLI::App& app, int& result) {
+  auto* command =
+      app.add_subcommand("sweep", "play a scenario over the values of one or two fields; tab-separated");
+  struct Options : RunOptions {
+    std::vector<std::string> vary;
+  };
+  auto o = std::make_shared<Options>();
+  addRunOptions(*command, *o);
+  command->add_option("--vary", o->vary, "FIELD=V1,V2,... (once or twice)")->required()->expected(1, 2);
+  command->footer(
+      "Example:\n  fennelridge-lab sweep scenarios/quiet.json --vary clients.load=0.3,0.6,0.9,1.2 --seeds "
+      "10\n"
+      "  fennelridge-lab sweep scenarios/quiet.json --vary gateways.count=4,16,48 "
+      "--vary clients.load=0.5,0.9");
+  command->callback([o, &result] {
+    std::vector<std::vector<std::string>> axes;
+    for (const std::string& vary : o->vary) {
+      const auto equals = vary.find('=');
+      if (equals == std::string::npos) throw BadInput("--vary " + vary + ": should be FIELD=V1,V2,...");
+      axes.emplace_back();
+      for (std::size_t at = equals + 1; at <= vary.size();) {
+        const std::size_t comma = std::min(vary.find(',', at), vary.size());
+        axes.back().push_back(vary.substr(0, equals + 1) + vary.substr(at, comma - at));
+        at = comma + 1;
+      }
+    }
+    if (axes.size() == 1) axes.push_back({""});
+    std::vector<std::pair<std::vector<std::string>, Scenario>>
+        points;  // all are checked before the first is played
+    for (const std::string& x : axes[0])
+      for (const std::string& y : axes[1]) {
+        std::vector<std::string> set = o->set;
+        set.push_back(x);
+        if (!y.empty()) set.push_back(y);
+        points.emplace_back(set, openScenario(o->scenario, set));
+      }
+    ordered out = ordered::array();
+    if (!o->json) std::printf("point\tservice\tin_time\tworst_window\tworst_class\twasted\tbreaches\n");
+    for (const auto& [set, scenario] : points) {
+      std::string name;
+      for (std::size_t i = o->set.size(); i < set.size(); ++i) name += (name.empty() ? "" : " ") + set[i];
+      const auto days = play(scenario, *o, name);
+      double sums[5] = {};
+      std::uint64_t breaches = 0;
+      for (const DayResult& d : days) {
+        const double values[5] = {d.service(), d.inTime(), d.worstWindow(), d.worstClass(), d.wasted()};
+        for (int i = 0; i < 5; ++i) sums[i] += values[i] / static_cast<double>(days.size());
+        for (std::uint64_t n : d.breaches) breaches += n;
+      }
+      if (breaches > 0) result = kNo;
+      if (o->json)
+        out.push_back({{"point", name},
+                       {"service", sums[0]},
+                       {"in_time", sums[1]},
+                       {"worst_window", sums[2]},
+                       {"worst_class", sums[3]},
+                       {"wasted", sums[4]},
+                       {"breaches", breaches}});
+      else
+        std::printf("%s\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%llu\n", name.c_str(), sums[0], sums[1], sums[2],
+                    sums[3], sums[4], static_cast<unsigned long long>(breaches));
+      std::fflush(stdout);
+    }
+    if (o->json) std::cout << out.dump(1) << '\n';
+  });
+}
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/commands.hpp
@@ -0,0 +1,30 @@
+// The sub-commands of fennelridge-lab, one function each: it adds itself to the program and runs when chosen.
+// Exit codes: 0 yes, 1 no (a rule was broken, a mistake was found, a run was void), 2 bad usage or input.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json_fwd.hpp>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lab/scenario.hpp"
+
+namespace fennelridge::lab {
+
+inline constexpr int kYes = 0, kNo = 1, kBadInput = 2;
+
+struct BadInput : std::runtime_error {  // one line for each mistake
+  using std::runtime_error::runtime_error;
+};
+
+// `file` with assignments of setField carried out. Throws BadInput: "FILE: FIELD: MISTAKE", a line for each.
+Scenario openScenario(const std::string& file, const std::vector<std::string>& assignments = {});
+
+void addCheck(CLI::App& app, int& result);
+void addFields(CLI::App& app, int& result);
+void addRun(CLI::App& app, int& result);
+void addCompare(CLI::App& app, int& result);
+void addSweep(CLI::App& app, int& result);
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/discovery_model.hpp
@@ -0,0 +1,63 @@
+// Discovery: the list of hosts as gateways come to know it, late, from one service of limited capacity.
+// Stepped with the time; owns no clock. Source: PROTOCOL, "Discovery"; BENCH, "The world".
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "lab/agenda.hpp"
+#include "lab/scenario.hpp"
+
+namespace fennelridge::lab {
+
+struct Listed {
+  std::uint32_t host = 0;
+  ochrehill::Phase phase = ochrehill::Phase::in;
+  Time started{};  // zero: long ago
+};
+
+class DiscoveryModel {
+ public:
+  DiscoveryModel(const DiscoverySpec& spec, std::uint64_t seed);
+
+  // True from `now`; the list knows of it later. At the start of a day: at once.
+  void tell(Time now, const Listed& truth);
+  void tellAtOnce(Time now, const Listed& truth);
+  void setStale(Duration extra) { stale_ = extra; }  // for what happens from now on
+  void setDown(bool down) { down_ = down; }
+
+  Time nextEvent() const { return coming_.nextAt(); }
+  std::vector<Listed> advance(Time now);  // what the list has come to know by now, in order
+
+  std::uint64_t revision() const { return revision_; }
+  // Entries newer than that revision, in order of host; `whole`: it is too old, this is the whole list.
+  std::vector<Listed> since(std::uint64_t revision, bool& whole) const;
+
+  struct Call {
+    Time at;  // when the answer leaves discovery
+    bool ok;  // false: 503
+  };
+  Call call(Time now, std::size_t lines);
+  std::uint64_t lines() const { return lines_; }
+
+ private:
+  struct Row {
+    Listed listed;
+    std::uint64_t revision;
+    Time at;
+  };
+  void enter(Time now, const Listed& listed);
+
+  DiscoverySpec spec_;
+  Random random_;
+  Agenda<Listed> coming_;
+  std::map<std::uint32_t, Time> lastDue_;  // changes of one host keep their order
+  std::map<std::uint32_t, Row> rows_;
+  std::uint64_t revision_ = 0, forgotten_ = 0, lines_ = 0;
+  Duration stale_{};
+  bool down_ = false;
+  Time busyUntil_{};
+};
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/layout.hpp
@@ -0,0 +1,71 @@
+// Who stands where: the hosts and gateways of one day, drawn from a scenario by a seed, and what troubles do
+// to them, as a list of steps. Pure; both clocks carry out the same steps.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lab/host_model.hpp"
+#include "lab/scenario.hpp"
+
+namespace fennelridge::lab {
+
+struct HostPlace {
+  HostTraits traits;
+  std::uint32_t zone = 0, kind = 0, cell = 0;
+};
+
+struct Layout {
+  std::vector<HostPlace> hosts;
+  std::vector<std::uint32_t> gatewayZones;
+  // One way between zones, seconds in the mean; and between client and gateway.
+  std::vector<std::vector<double>> delay;
+  double clientDelay = 0;
+  double capacity = 0;  // work a second of all hosts, warm
+  double rate = 0;      // first tries a second
+};
+Layout drawLayout(const Scenario& scenario, std::uint64_t seed);
+
+enum class StepKind {
+  conditionOn,  // `trouble` holds for `hosts` from now on
+  conditionOff,
+  hostStop,   // the process ends
+  hostStart,  // it starts, cold
+  hostNew,    // a new host, like `hosts[0]`, starts cold under the next number
+  hostDrain,  // discovery learns that it drains
+  hostCut,    // it vanishes without a word
+  hostBack,
+  gatewayStop,
+  gatewayStart,
+  staleMore,  // the list falls `amount` s further behind
+  staleLess,
+  discoveryDown,
+  discoveryUp
+};
+
+struct Step {
+  Duration at{};  // since the clients began
+  StepKind kind = StepKind::conditionOn;
+  std::uint32_t trouble = 0;
+  std::vector<std::uint32_t> who;  // hosts or gateways
+  double amount = 0;
+};
+
+struct TroubleTime {  // for the report
+  std::string name;
+  Duration from{}, to{};
+  std::size_t hits = 0;  // hosts or gateways
+};
+
+struct Plan {
+  std::vector<Step> steps;  // in order of time
+  std::vector<TroubleTime> times;
+  std::vector<Condition> conditions;  // by trouble: what it makes of one host
+};
+Plan planTroubles(const Scenario& scenario, const Layout& layout, std::uint64_t seed);
+
+// Several conditions at one host.
+Condition together(const Condition& a, const Condition& b);
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,37 @@
+// fennelridge-lab: the laboratory as a program.
+#include <exception>
+#include <iostream>
+
+#include "lab/commands.hpp"
+
+int main(int argc, char** argv) {
+  using namespace fennelridge::lab;
+  CLI::App app(
+      "Plays a fleet of gateways, hosts and clients, checks the rules, and shows what a change does.",
+      "fennelridge-lab");
+  app.require_subcommand(1);
+  app.footer(
+      "Exit codes: 0 yes; 1 no (a rule was broken, a run was void); 2 bad usage or input.\n"
+      "Examples:\n  fennelridge-lab run scenarios/rough.json --seeds 20\n  fennelridge-lab COMMAND --help");
+  int result = kYes;
+  addRun(app, result);
+  addCompare(app, result);
+  addSweep(app, result);
+  addCheck(app, result);
+  addFields(app, result);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::Success& help) {
+    return app.exit(help);
+  } catch (const CLI::ParseError& bad) {
+    app.exit(bad);
+    return kBadInput;
+  } catch (const BadInput& bad) {
+    std::cerr << bad.what() << '\n';
+    return kBadInput;
+  } catch (const std::exception& bad) {
+    std::cerr << "fennelridge-lab: " << bad.what() << '\n';
+    return kNo;
+  }
+  return result;
+}
--- /dev/null
+++ b/src/lab/scenario.cpp
@@ -0,0 +1,377 @@
+#include "lab/scenario.hpp"
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <set>
+
+#include "lab/agenda.hpp"
+
+namespace fennelridge::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 15> kTroubleNames{
+    "slow",         "fast_errors", "neighbour", "stale_list", "discovery_down",
+    "gateway_roll", "shared_slow", "drain",     "replace",    "restart",
+    "zone_loss",    "silent_cut",  "reset",     "spoilt",     "slow_peers"};
+
+using Zone = ZoneSpec;
+const std::vector<Field<Zone>> kZone{
+    {"name", "", 0, 0, "a name, used once", &Zone::name},
+    {"traffic", "share", 0, 1e6, "of the first tries, against the other zones", &Zone::traffic},
+    {"hosts", "share", 0, 1e6, "of the hosts, against the other zones", &Zone::hosts}};
+
+using Net = NetworkSpec;
+const std::vector<Field<Net>> kNetwork{
+    {"same_ms", "ms", 0.001, 1000, "one way within a zone", &Net::sameMs},
+    {"cross_ms", "ms", 0.001, 1000, "one way between zones", &Net::crossMs},
+    {"client_ms", "ms", 0.001, 1000, "one way between client and gateway", &Net::clientMs},
+    {"jitter", "share", 0, 2, "standard deviation of each, as a share of its mean", &Net::jitter}};
+
+using Gates = GatewaysSpec;
+const std::vector<Field<Gates>> kGateways{
+    {"count", "", 1, 1000, "gateways, dealt over the zones", &Gates::count},
+    {"notice_s", "s", 0, 60, "until the front notices a dead gateway", &Gates::noticeS}};
+
+using Kind = KindSpec;
+const std::vector<Field<Kind>> kKind{
+    {"name", "", 0, 0, "name of the machine kind", &Kind::name},
+    {"share", "share", 0, 1e6, "of the hosts, against the other kinds", &Kind::share},
+    {"cores", "", 1, 1024, "cores", &Kind::cores},
+    {"speed", "yardsticks", 0.01, 100, "of one core", &Kind::speed},
+    {"slots_per_core", "requests", 1, 10000, "in work at most", &Kind::slotsPerCore},
+    {"queue_per_core", "requests", 0, 10000, "in the waiting room at most", &Kind::queuePerCore},
+    {"thrash", "share", 0, 10, "efficiency lost for each request a core above thrash_at", &Kind::thrash},
+    {"thrash_at", "requests a core", 1, 10000, "where efficiency begins to fall", &Kind::thrashAt},
+    {"cold_share", "share", 0.01, 1, "of its capacity at its start", &Kind::coldShare},
+    {"cold_s", "s", 0, 600, "until it is warm", &Kind::coldS},
+    {"error_rate", "share", 0, 1, "of the answers that fail at any time", &Kind::errorRate}};
+
+using Crowd = CrowdingSpec;
+const std::vector<Field<Crowd>> kCrowding{
+    {"on", "", 0, 0, "lasting slowness after crowding", &Crowd::on},
+    {"holds_per_core", "requests a core", 1, 1000, "more held than this crowds a host", &Crowd::holdsPerCore},
+    {"for_s", "s", 0.1, 60, "for so long", &Crowd::forS},
+    {"slower", "times", 1, 100, "so much slower it turns", &Crowd::slower},
+    {"below_per_core", "requests a core", 0, 1000, "mostly idle: fewer held than this", &Crowd::belowPerCore},
+    {"rest_s", "s", 0, 600, "until it has been mostly idle for so long,", &Crowd::restS},
+    {"most_s", "s", 0, 3600, "or so long in all", &Crowd::mostS}};
+
+using Warm = WarmSpec;
+const std::vector<Field<Warm>> kWarm{
+    {"on", "", 0, 0, "a key met lately costs less", &Warm::on},
+    {"gain", "share", 0, 0.99, "of the work that is saved", &Warm::gain},
+    {"for_s", "s", 0, 3600, "for so long after the key was met", &Warm::forS},
+    {"keys_per_core", "keys", 0, 1e6, "remembered at most", &Warm::keysPerCore}};
+
+using Conn = ConnectionSpec;
+const std::vector<Field<Conn>> kConnections{
+    {"handshake_trips", "round trips", 0, 20, "for a new connection", &Conn::handshakeTrips},
+    {"handshake_us", "us", 0, 1e6, "of the host's work for a new connection", &Conn::handshakeUs},
+    {"idle_close_s", "s", 0.1, 3600, "the host's machine closes an idle one after this", &Conn::idleCloseS},
+    {"timeout_ms", "ms", 1, 60000, "one that is not up by then has failed", &Conn::timeoutMs},
+    {"cap_per_core", "connections", 1, 1e6, "held by a host at most", &Conn::capPerCore},
+    {"full_tax", "share", 0, 0.95, "of the capacity that a full table takes", &Conn::fullTax}};
+
+using Report = ReportSpec;
+const std::vector<Field<Report>> kReport{
+    {"period_ms", "ms", 1, 60000, "between two load reports of a host", &Report::periodMs},
+    {"delay_ms", "ms", 0, 60000, "until an answer carries it", &Report::delayMs},
+    {"noise", "share", 0, 1, "standard deviation, as a share of the value", &Report::noise}};
+
+using Hosts = HostsSpec;
+const std::vector<Field<Hosts>> kHosts{
+    {"count", "", 1, 100000, "hosts at the start", &Hosts::count},
+    {"cell_size", "hosts", 1, 100000, "hosts of one cell", &Hosts::cellSize},
+    {"start", "", 0, 0, "\"warm\", or \"cold\": all were restarted just before", &Hosts::start}};
+
+using Clients = ClientsSpec;
+const std::vector<Field<Clients>> kClients{
+    {"load", "share", 0, 10, "first tries, as a share of what all warm hosts can do", &Clients::load},
+    {"rate_per_s", "requests/s", 0, 1e6, "first tries; 0: taken from load", &Clients::ratePerS},
+    {"swing", "share", 0, 1, "by which the rate swings, once over the run", &Clients::swing},
+    {"keys", "", 1, 1e7, "distinct keys", &Clients::keys},
+    {"key_skew", "", 0, 4, "Zipf exponent of their popularity", &Clients::keySkew},
+    {"retries", "", 0, 10, "of a client at most", &Clients::retries},
+    {"try_share", "share", 0.05, 1, "of the class's total wait for one try", &Clients::tryShare},
+    {"backoff_ms", "ms", 0, 60000, "wait before the first retry, then doubled", &Clients::backoffMs},
+    {"honour", "share", 0, 1, "of the clients heed Retry-After", &Clients::honour},
+    {"impatient", "share", 0, 1, "of the tries whose client leaves early", &Clients::impatient}};
+
+using Class = ClassSpec;
+const std::vector<Field<Class>> kClass{
+    {"name", "", 0, 0, "name of the class, used once", &Class::name},
+    {"share", "share", 0, 1e6, "of the requests, against the other classes", &Class::share},
+    {"work_ms", "ms", 0.001, 1e6, "mean work on a core of speed 1", &Class::workMs},
+    {"variation", "", 0, 10, "coefficient of variation of the work", &Class::variation},
+    {"aim_ms", "ms", 1, 1e6, "full worth up to here", &Class::aimMs},
+    {"give_up_ms", "ms", 1, 1e6, "the client's total wait", &Class::giveUpMs},
+    {"worth", "points", 0, 1e6, "for each unit of work", &Class::worth},
+    {"late_share", "share", 0, 1, "of the worth after the aim", &Class::lateShare},
+    {"effect", "", 0, 0, "\"retryable\", \"dedup\" or \"fragile\"", &Class::effect},
+    {"group", "", 0, 0, "dedup: hosts that drop repeats together: \"all\", \"zone\" or \"cell\"",
+     &Class::group},
+    {"window_ms", "ms", 0, 1e6, "dedup: how long repeats are dropped", &Class::windowMs}};
+
+using Disc = DiscoverySpec;
+const std::vector<Field<Disc>> kDiscovery{
+    {"notice_s", "s", 0, 60, "until the list knows that a host is gone or drains", &Disc::noticeS},
+    {"add_s", "s", 0, 60, "until the list knows a new host or a new start", &Disc::addS},
+    {"spread_ms", "ms", 0, 60000, "from the list to a gateway that watches", &Disc::spreadMs},
+    {"call_ms", "ms", 0, 10000, "discovery's work for one call", &Disc::callMs},
+    {"line_us", "us", 0, 1e6, "discovery's work for one line of an answer", &Disc::lineUs},
+    {"timeout_ms", "ms", 1, 60000, "a call that waits longer fails with 503", &Disc::timeoutMs}};
+
+using Rules = RulesSpec;
+const std::vector<Field<Rules>> kRules{
+    {"answer_slack_ms", "ms", 0, 10000, "after the client's time in which an answer still counts as given",
+     &Rules::answerSlackMs},
+    {"drain_grace_ms", "ms", 0, 60000, "after which nothing new goes to a drained host",
+     &Rules::drainGraceMs},
+    {"fall_multiple", "times", 1, 100, "of its capacity fells a cold host", &Rules::fallMultiple},
+    {"fall_ms", "ms", 10, 60000, "window over which that is counted", &Rules::fallMs},
+    {"fall_slack_ms", "ms", 0, 60000, "of work that the window bears beyond it", &Rules::fallSlackMs},
+    {"held_back_ms", "ms", 1, 60000, "with nothing under way, before a refusal counts as held back",
+     &Rules::heldBackMs}};
+
+using Limits = LimitsSpec;
+const std::vector<Field<Limits>> kLimits{
+    {"max_attempts", "", 1, 8, "of the gateway for one request", &Limits::maxAttempts},
+    {"max_retry_after_ms", "ms", 0, 60000, "longest wait that clients heed", &Limits::maxRetryAfterMs},
+    {"cancel", "", 0, 0, "attempts may be cancelled", &Limits::cancel},
+    {"second_copies", "", 0, 0, "a second attempt may be out beside the first", &Limits::secondCopies},
+    {"retry_after", "", 0, 0, "refusals may say when to come back", &Limits::retryAfter}};
+
+using Trouble = TroubleSpec;
+const std::vector<Field<Trouble>> kTrouble{
+    {"kind", "", 0, 0,
+     "slow (size: times), fast_errors (size: share failing), neighbour (size: share of the machine taken; "
+     "extra: "
+     "s on or off), stale_list (size: s of delay), discovery_down, gateway_roll (size: share at a time; "
+     "extra: s "
+     "down), shared_slow (size: times), drain (extra: s until the host goes; it comes back cold at the end), "
+     "replace (extra: s until the new one is up), restart (extra: s down), zone_loss, silent_cut, reset "
+     "(size: "
+     "share of the attempts), spoilt (size: share of the answers), slow_peers (extra: s by which answers "
+     "trickle)",
+     &Trouble::kindName},
+    {"at_s", "s", 0, 86400, "when it begins", &Trouble::atS},
+    {"length_s", "s", 0, 86400, "how long it lasts", &Trouble::lengthS},
+    {"part", "share", 0, 1, "of the hosts or gateways that it meets", &Trouble::part},
+    {"size", "", 0, 1000, "how bad; the unit depends on the kind", &Trouble::size},
+    {"extra", "s", 0, 600, "a further time; see kind", &Trouble::extra},
+    {"zone", "", 0, 0, "zone_loss: the zone; empty: one is drawn", &Trouble::zone}};
+
+const std::vector<Field<Scenario>> kScenario{
+    {"name", "", 0, 0, "name of the scenario", &Scenario::name},
+    {"about", "", 0, 0, "what it shows, in a sentence", &Scenario::about},
+    {"length_s", "s", 1, 86400, "time in which clients send", &Scenario::lengthS}};
+
+template <class T>
+void part(const json& object, const char* name, const std::vector<Field<T>>& table, const std::string& path,
+          T& into, std::vector<Mistake>& mistakes, const std::vector<std::string>& others = {}) {
+  if (const auto it = object.find(name); it != object.end())
+    readFields(*it, table, others, path + name, into, mistakes);
+}
+
+template <class T, class Each>
+void list(const json& object, const char* name, const std::vector<Field<T>>& table, const std::string& path,
+          bool mayBeEmpty, std::vector<T>& into, std::vector<Mistake>& mistakes, Each each) {
+  const auto it = object.find(name);
+  if (it == object.end()) return;
+  if (!it->is_array() || (it->empty() && !mayBeEmpty)) {
+    mistakes.push_back(
+        {path + name, mayBeEmpty ? "should be a list [...]" : "should be a list with an entry"});
+    return;
+  }
+  into.clear();
+  for (std::size_t i = 0; i < it->size(); ++i) {
+    const std::string here = path + name + "[" + std::to_string(i) + "]";
+    into.emplace_back();
+    readFields((*it)[i], table, {}, here, into.back(), mistakes);
+    each(into.back(), here);
+  }
+}
+
+void checkTogether(const Scenario& s, std::vector<Mistake>& mistakes) {
+  const auto sum = [&](const auto& items, auto member, const char* where) {
+    double all = 0;
+    for (const auto& item : items) all += item.*member;
+    if (all <= 0) mistakes.push_back({where, "the shares are all 0; at least one must be above"});
+  };
+  sum(s.zones, &ZoneSpec::traffic, "zones.traffic");
+  sum(s.zones, &ZoneSpec::hosts, "zones.hosts");
+  sum(s.hosts.kinds, &KindSpec::share, "hosts.kinds.share");
+  sum(s.classes, &ClassSpec::share, "classes.share");
+  std::set<std::string> names;
+  for (const ZoneSpec& z : s.zones)
+    if (!names.insert(z.name).second) mistakes.push_back({"zones", "two zones are named '" + z.name + "'"});
+  names.clear();
+  for (const ClassSpec& c : s.classes) {
+    if (!names.insert(c.name).second)
+      mistakes.push_back({"classes", "two classes are named '" + c.name + "'"});
+    if (c.giveUpMs < c.aimMs)
+      mistakes.push_back({"classes." + c.name + ".give_up_ms", "should not be below aim_ms"});
+  }
+  if (s.hosts.start != "warm" && s.hosts.start != "cold")
+    mistakes.push_back({"hosts.start", "is '" + s.hosts.start + "'; it should be \"warm\" or \"cold\""});
+  for (std::size_t i = 0; i < s.troubles.size(); ++i) {
+    const TroubleSpec& t = s.troubles[i];
+    if (t.zone.empty()) continue;
+    bool found = false;
+    for (const ZoneSpec& z : s.zones) found |= z.name == t.zone;
+    if (!found)
+      mistakes.push_back({"troubles[" + std::to_string(i) + "].zone", "no zone is named '" + t.zone + "'"});
+  }
+}
+
+}  // namespace
+
+std::string plain(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.12g", value);
+  return text;
+}
+
+bool detail::readNumber(const json& value, double least, double most, const char* unit, double& into,
+                        std::string& mistake) {
+  const std::string named = *unit ? std::string(" (") + unit + ")" : "";
+  if (!value.is_number()) {
+    mistake = "should be a number" + named + " from " + plain(least) + " to " + plain(most);
+    return false;
+  }
+  const double d = value.get<double>();
+  if (!(d >= least && d <= most)) {
+    mistake = "is " + plain(d) + "; it should be " + plain(least) + " to " + plain(most) + named;
+    return false;
+  }
+  into = d;
+  return true;
+}
+
+std::string_view nameOf(TroubleKind kind) { return kTroubleNames[static_cast<std::size_t>(kind)]; }
+
+ScenarioReading readScenario(const json& object) {
+  ScenarioReading out;
+  Scenario& s = out.scenario;
+  std::vector<Mistake>& m = out.mistakes;
+  readFields(object, kScenario,
+             {"zones", "network", "gateways", "hosts", "clients", "classes", "discovery", "rules", "limits",
+              "troubles"},
+             "", s, m);
+  if (!object.is_object()) return out;
+  const auto nothing = [](auto&, const std::string&) {};
+  list(object, "zones", kZone, "", false, s.zones, m, nothing);
+  part(object, "network", kNetwork, "", s.network, m);
+  part(object, "gateways", kGateways, "", s.gateways, m);
+  part(object, "hosts", kHosts, "", s.hosts, m, {"kinds", "crowding", "warm", "connections", "report"});
+  if (const auto hosts = object.find("hosts"); hosts != object.end() && hosts->is_object()) {
+    list(*hosts, "kinds", kKind, "hosts.", false, s.hosts.kinds, m, nothing);
+    part(*hosts, "crowding", kCrowding, "hosts.", s.hosts.crowding, m);
+    part(*hosts, "warm", kWarm, "hosts.", s.hosts.warm, m);
+    part(*hosts, "connections", kConnections, "hosts.", s.hosts.connections, m);
+    part(*hosts, "report", kReport, "hosts.", s.hosts.report, m);
+  }
+  part(object, "clients", kClients, "", s.clients, m);
+  list(object, "classes", kClass, "", false, s.classes, m, [&](ClassSpec& c, const std::string& at) {
+    if (c.effect != "retryable" && c.effect != "dedup" && c.effect != "fragile")
+      m.push_back({at + ".effect", "is '" + c.effect + "'; it should be retryable, dedup or fragile"});
+    if (c.group != "all" && c.group != "zone" && c.group != "cell")
+      m.push_back({at + ".group", "is '" + c.group + "'; it should be all, zone or cell"});
+  });
+  part(object, "discovery", kDiscovery, "", s.discovery, m);
+  part(object, "rules", kRules, "", s.rules, m);
+  part(object, "limits", kLimits, "", s.limits, m);
+  list(object, "troubles", kTrouble, "", true, s.troubles, m, [&](TroubleSpec& t, const std::string& at) {
+    for (std::size_t i = 0; i < kTroubleNames.size(); ++i)
+      if (t.kindName == kTroubleNames[i]) {
+        t.kind = static_cast<TroubleKind>(i);
+        return;
+      }
+    std::string known;
+    for (std::string_view name : kTroubleNames) known += (known.empty() ? "" : ", ") + std::string(name);
+    m.push_back({at + ".kind", "'" + t.kindName + "' is no trouble; known: " + known});
+  });
+  if (m.empty()) checkTogether(s, m);
+  return out;
+}
+
+ScenarioReading loadScenario(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  if (!file || std::filesystem::is_directory(path)) return {{}, {{"", "cannot be read as a file"}}};
+  try {
+    return readScenario(json::parse(file));
+  } catch (const json::parse_error& bad) {
+    std::string what = bad.what();  // "[json.exception...] parse error at line L, column C: ..."
+    if (const auto from = what.find("] "); from != std::string::npos) what = what.substr(from + 2);
+    return {{}, {{"", "is not JSON: " + what}}};
+  }
+}
+
+std::vector<FieldRow> describeScenario() {
+  std::vector<FieldRow> rows;
+  describeFields("", kScenario, rows);
+  describeFields("zones[]", kZone, rows);
+  describeFields("network", kNetwork, rows);
+  describeFields("gateways", kGateways, rows);
+  describeFields("hosts", kHosts, rows);
+  describeFields("hosts.kinds[]", kKind, rows);
+  describeFields("hosts.crowding", kCrowding, rows);
+  describeFields("hosts.warm", kWarm, rows);
+  describeFields("hosts.connections", kConnections, rows);
+  describeFields("hosts.report", kReport, rows);
+  describeFields("clients", kClients, rows);
+  describeFields("classes[]", kClass, rows);
+  describeFields("discovery", kDiscovery, rows);
+  describeFields("rules", kRules, rows);
+  describeFields("limits", kLimits, rows);
+  describeFields("troubles[]", kTrouble, rows);
+  return rows;
+}
+
+ochrehill::Settings moduleSettings(const Scenario& s, unsigned number, const std::string& zone,
+                                   std::uint64_t seed) {
+  ochrehill::Settings m;
+  m.seed = seed;
+  m.groupSize = s.gateways.count;
+  m.number = number;
+  m.zone = zone;
+  m.askDiscovery = true;
+  m.parallelTries = s.limits.secondCopies;
+  m.warmKeys = s.hosts.warm.on;
+  m.retryAfter = s.limits.retryAfter;
+  m.cancel = s.limits.cancel;
+  m.maxAttempts = s.limits.maxAttempts;
+  m.idleClose = fromSeconds(s.hosts.connections.idleCloseS);
+  m.maxRetryAfter = fromMillis(s.limits.maxRetryAfterMs);
+  m.askWithin = fromSeconds(10);
+  m.step = fromMillis(5);
+  m.coldShare = 1;
+  for (const KindSpec& k : s.hosts.kinds) {
+    m.coldShare = std::min(m.coldShare, k.coldShare.low);
+    m.coldTime = std::max(m.coldTime, fromSeconds(k.coldS.high));
+  }
+  m.fallMultiple = s.rules.fallMultiple;
+  m.fallWindow = fromMillis(s.rules.fallMs);
+  for (const ClassSpec& c : s.classes) {
+    ochrehill::ClassSettings out;
+    out.name = c.name;
+    out.aim = fromMillis(c.aimMs);
+    out.giveUp = fromMillis(c.giveUpMs);
+    out.window = fromMillis(c.windowMs);
+    out.effect = c.effect == "retryable" ? ochrehill::Effect::retryable
+                 : c.effect == "dedup"   ? ochrehill::Effect::dedup
+                                         : ochrehill::Effect::fragile;
+    out.group = c.group == "zone"   ? ochrehill::Group::zone
+                : c.group == "cell" ? ochrehill::Group::cell
+                                    : ochrehill::Group::all;
+    out.worth = c.worth;
+    out.lateShare = c.lateShare;
+    m.classes.push_back(out);
+  }
+  return m;
+}
+
+}  // namespace fennelridge::lab
