--- a/src/lab/host_model.hpp
+++ b/src/lab/host_model.hpp
@@ -85,6 +85,8 @@
 class HostModel {
  public:
   HostModel(HostTraits traits, Time now, bool cold);
+  HostModel(const HostModel&) = delete;  // its keys are held by place
+  HostModel& operator=(const HostModel&) = delete;
 
   void advance(Time now, std::vector<Ended>& ended);  // appends what ended by then
   Time nextEvent() const;                             // advance is wanted by then; kNever: not
--- a/src/lab/virtual_fleet.cpp
+++ b/src/lab/virtual_fleet.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <deque>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -126,16 +128,34 @@
 };
 
 struct Host {
+  Host(const HostPlace& place, std::uint32_t number, std::uint64_t seed, Time now, bool cold)
+      : model(place.traits, now, cold),
+        address(1, 'h'),
+        zone(place.zone),
+        kind(place.kind),
+        cell(place.cell),
+        startedAt(cold ? now : Time{}),
+        luck(seed, "luck", number) {
+    address += std::to_string(number);
+  }
+
   HostModel model;
   std::string address;
-  std::uint32_t zone = 0, kind = 0, cell = 0, boot = 0;
+  std::uint32_t zone, kind, cell, boot = 1;
   bool cut = false;
-  Time startedAt{};  // zero: long ago
+  Time startedAt;  // zero: long ago
   std::vector<std::uint32_t> troubles;
   Time stepAt = kNever;
   Random luck;
 };
 
+std::uint32_t numberOf(const std::string& address) {  // UINT32_MAX: none
+  std::uint32_t number = 0;
+  const char* last = address.data() + address.size();
+  if (address.size() < 2 || std::from_chars(address.data() + 1, last, number).ptr != last) return UINT32_MAX;
+  return number;
+}
+
 class Fleet {
  public:
   Fleet(const Scenario& scenario, std::uint64_t seed, const PolicyMaker& policy)
@@ -172,6 +192,7 @@
   void nextFirstTry();
   void startTry(std::uint32_t wish);
   std::uint32_t chooseGateway(std::uint32_t zone);
+  void renewFront();
   void arriveAtGateway(std::uint32_t slot);
   void tellClient(std::uint32_t slot, TryEnd end, Duration retryAfter);
   void clientEnds(std::uint32_t slot, TryEnd end);
@@ -218,7 +239,8 @@
   Random network_, front_;
   Agenda<Event> agenda_;
   std::vector<Gateway> gateways_;
-  std::vector<Host> hosts_;
+  std::vector<std::vector<std::uint32_t>> seen_;  // by the front: gateways by zone; last: all of them
+  std::deque<Host> hosts_;
   Slab<Request> requests_;
   Slab<Attempt> attempts_;
   std::vector<Ended> ended_;
@@ -352,7 +374,7 @@
     case What::troubleSteps: return carryOut(plan_.steps[e.a]);
     case What::frontNotices:
       if (gateways_[e.a].epoch == e.b) gateways_[e.a].seenAlive = false;
-      return;
+      return renewFront();
     case What::tidy: return tidy();
   }
 }
@@ -366,19 +388,20 @@
 
 // A plain front spreads clients over the gateways of their zone that it takes for alive; with none, over all.
 std::uint32_t Fleet::chooseGateway(std::uint32_t zone) {
-  std::uint32_t chosen = 0;
-  std::size_t near = 0, any = 0;
-  std::uint32_t elsewhere = 0;
+  const std::vector<std::uint32_t>& near = seen_[zone];
+  if (!near.empty()) return near[front_.below(near.size())];
+  const std::vector<std::uint32_t>& any = seen_.back();
+  if (!any.empty()) return any[front_.below(any.size())];
+  return static_cast<std::uint32_t>(front_.below(gateways_.size()));
+}
+
+void Fleet::renewFront() {
+  seen_.assign(s_.zones.size() + 1, {});
   for (std::uint32_t g = 0; g < gateways_.size(); ++g) {
     if (!gateways_[g].seenAlive) continue;
-    if (gateways_[g].zone == zone) {
-      if (front_.below(++near) == 0) chosen = g;
-    } else if (front_.below(++any) == 0) {
-      elsewhere = g;
-    }
+    seen_[gateways_[g].zone].push_back(g);
+    seen_.back().push_back(g);
   }
-  if (near > 0) return chosen;
-  return any > 0 ? elsewhere : static_cast<std::uint32_t>(front_.below(gateways_.size()));
 }
 
 void Fleet::startTry(std::uint32_t wish) {
@@ -444,6 +467,7 @@
 void Fleet::startGateway(std::uint32_t number) {
   Gateway& g = gateways_[number];
   g.alive = g.seenAlive = true;
+  renewFront();
   ++g.epoch;
   g.wakeAt = kNever;
   g.watching = false;
@@ -551,9 +575,8 @@
         if (requests_.find(slot, generation)) cancel(a);
         break;
       case ActionKind::close: {
-        std::uint32_t host = 0;
-        const std::string& address = g.policy->address(a.host);
-        std::from_chars(address.data() + 1, address.data() + address.size(), host);
+        const std::uint32_t host = numberOf(g.policy->address(a.host));
+        if (host >= hosts_.size()) break;  // forgotten since
         for (std::size_t n = g.lines->dropIdle(host); n > 0; --n) hosts_[host].model.closeConnection();
         break;
       }
@@ -579,9 +602,8 @@
 void Fleet::send(std::uint32_t number, const ochrehill::Action& action) {
   Gateway& g = gateways_[number];
   const auto requestSlot = static_cast<std::uint32_t>(action.request);
-  std::uint32_t host = 0;
-  const std::string& address = g.policy->address(action.host);
-  std::from_chars(address.data() + 1, address.data() + address.size(), host);
+  const std::uint32_t host = numberOf(g.policy->address(action.host));
+  if (host >= hosts_.size()) throw std::logic_error("the policy sends to a host that no list named");
 
   const std::uint32_t slot = attempts_.take();
   Attempt& a = attempts_[slot];
@@ -683,19 +705,7 @@
 
 void Fleet::addHost(const HostPlace& place, bool cold) {
   const auto number = static_cast<std::uint32_t>(hosts_.size());
-  std::string address(1, 'h');
-  address += std::to_string(number);
-  hosts_.push_back({HostModel(place.traits, now_, cold),
-                    std::move(address),
-                    place.zone,
-                    place.kind,
-                    place.cell,
-                    1,
-                    false,
-                    cold ? now_ : Time{},
-                    {},
-                    kNever,
-                    Random(seed_, "luck", number)});
+  hosts_.emplace_back(place, number, seed_, now_, cold);
   tally_.load.emplace_back(static_cast<std::size_t>(std::max(toSeconds(now_ - begin_), 0.0)), -1.0f);
   if (now_ < begin_) discovery_.tellAtOnce(now_, {number, Phase::in, hosts_[number].startedAt});
 }
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,482 @@
+// The laboratory: its hosts, its referee by policies that break a rule on purpose, and that a day repeats.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "lab/discovery_model.hpp"
+#include "lab/experiment.hpp"
+#include "lab/host_model.hpp"
+#include "lab/virtual_fleet.hpp"
+
+namespace fennelridge::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using ochrehill::Action;
+using ochrehill::ActionKind;
+using ochrehill::HostId;
+using ochrehill::Outcome;
+using ochrehill::Phase;
+
+Scenario read(const char* text) {
+  ScenarioReading reading = readScenario(nlohmann::json::parse(text));
+  for (const Mistake& m : reading.mistakes) ADD_FAILURE() << m.where << ": " << m.what;
+  return reading.scenario;
+}
+
+// A small day with every class and some of every trouble that the test asks for.
+Scenario smallDay(const std::string& troubles = "[]", const std::string& load = "0.5") {
+  return read((R"({"name": "small", "length_s": 12, "zones": [{"name": "a"}, {"name": "b"}],
+    "gateways": {"count": 2}, "hosts": {"count": 6},
+    "clients": {"load": )" +
+               load + R"(, "keys": 50, "impatient": 0.02},
+    "classes": [{"name": "read"},
+                {"name": "put", "effect": "dedup", "group": "zone", "window_ms": 15000, "worth": 5},
+                {"name": "seal", "effect": "fragile", "worth": 9}],
+    "troubles": )" +
+               troubles + "}")
+                  .c_str());
+}
+
+HostTraits plainHost() {
+  HostTraits t;
+  t.cores = 2;
+  t.slots = 4;
+  t.queue = 2;
+  t.fallWindow = 1s;
+  t.handshakeWork = 0.01;
+  return t;
+}
+
+Job job(JobId id, double work, std::uint64_t key = 0) {
+  Job j;
+  j.id = id;
+  j.work = work;
+  j.key = key;
+  j.hasKey = key != 0;
+  return j;
+}
+
+// Steps a host until nothing is left to do; when each job ended.
+std::map<JobId, double> endsOf(HostModel& host) {
+  std::map<JobId, double> ends;
+  std::vector<Ended> ended;
+  while (host.holds() > 0 && host.nextEvent() != kNever) {
+    const Time at = host.nextEvent();
+    host.advance(at, ended);
+    for (const Ended& e : ended) ends[e.id] = toSeconds(at);
+    ended.clear();
+  }
+  return ends;
+}
+
+// --- Hosts ------------------------------------------------------------------------------------------------
+
+TEST(LabHost, CoresShareTheirTimeAndTheRestWaitsOrIsTurnedAway) {
+  HostModel host(plainHost(), 0s, false);
+  std::vector<Ended> ended;
+  for (JobId id = 1; id <= 6; ++id) EXPECT_EQ(host.arrive(0s, job(id, 1), ended), Admission::taken);
+  EXPECT_EQ(host.arrive(0s, job(7, 1), ended), Admission::full);
+  const auto ends = endsOf(host);
+  // Four share two cores: each at half speed, done at 2 s; the two that waited then have a core each.
+  for (JobId id = 1; id <= 4; ++id) EXPECT_NEAR(ends.at(id), 2, 1e-6) << id;
+  for (JobId id = 5; id <= 6; ++id) EXPECT_NEAR(ends.at(id), 3, 1e-6) << id;
+}
+
+TEST(LabHost, WhatIsCancelledOrExpiredMakesRoom) {
+  HostModel host(plainHost(), 0s, false);
+  std::vector<Ended> ended;
+  for (JobId id = 1; id <= 4; ++id) host.arrive(0s, job(id, 1), ended);
+  Job late = job(5, 1);
+  late.deadline = 500ms;
+  host.arrive(0s, late, ended);
+  host.arrive(0s, job(6, 1), ended);
+  host.cancel(1s, 1, ended);  // frees a slot when the waiting one has expired
+  ASSERT_EQ(ended.size(), 1u);
+  EXPECT_EQ(ended[0].id, 5u);
+  EXPECT_EQ(ended[0].how, Ended::How::expired);
+  EXPECT_EQ(endsOf(host).count(6), 1u);
+}
+
+TEST(LabHost, AColdOneWarmsUpAndFallsWhenPushed) {
+  HostTraits t = plainHost();
+  t.coldShare = 0.25;
+  t.coldTime = 10s;
+  t.slots = 100;
+  HostModel warming(t, 0s, true);
+  EXPECT_NEAR(warming.capacity(0s), 0.5, 1e-9);
+  EXPECT_NEAR(warming.capacity(5s), 1.25, 1e-9);
+  EXPECT_NEAR(warming.capacity(10s), 2, 1e-9);
+
+  t.coldTime = 1h;
+  // It bears 3 x 0.5 work a second. Just under that it stands for ever; a little over, it falls.
+  for (const double work : {0.14, 0.16}) {
+    HostModel host(t, 0s, true);
+    std::vector<Ended> ended;
+    for (JobId id = 0; id < 10; ++id) {
+      Job j = job(id + 1, work);
+      j.senderKnowsStart = id < 8;
+      host.arrive(Duration(50ms) * static_cast<int>(id), j, ended);
+    }
+    EXPECT_EQ(host.fallen().has_value(), work > 0.15) << work;
+    if (host.fallen()) {
+      EXPECT_NEAR(host.fallen()->knownShare, 0.8, 1e-9);
+    }
+  }
+}
+
+TEST(LabHost, CrowdedTooLongItStaysSlowUntilItHasRested) {
+  HostTraits t = plainHost();
+  t.crowds = true;
+  t.crowdHolds = 3;
+  t.crowdFor = 1s;
+  t.crowdSlower = 2;
+  t.crowdBelow = 0;
+  t.crowdRest = 3s;
+  t.crowdMost = 20s;
+  HostModel host(t, 0s, false);
+  std::vector<Ended> ended;
+  for (JobId id = 1; id <= 4; ++id) host.arrive(0s, job(id, 10), ended);
+  host.advance(900ms, ended);
+  EXPECT_FALSE(host.crowded());
+  host.advance(1100ms, ended);
+  EXPECT_TRUE(host.crowded());
+  for (JobId id = 1; id <= 4; ++id) host.cancel(2s, id, ended);
+  host.advance(4900ms, ended);
+  EXPECT_TRUE(host.crowded());
+  host.advance(5100ms, ended);
+  EXPECT_FALSE(host.crowded());
+}
+
+TEST(LabHost, WarmKeysCostLessAndAreBounded) {
+  HostTraits t = plainHost();
+  t.warmGain = 0.5;
+  t.warmFor = 5s;
+  t.warmKeys = 2;
+  HostModel host(t, 0s, false);
+  std::vector<Ended> ended;
+  JobId id = 0;
+  const auto took = [&](Time at, std::uint64_t key) {
+    host.arrive(at, job(++id, 0.1, key), ended);
+    return endsOf(host).at(id) - toSeconds(at);
+  };
+  EXPECT_NEAR(took(1s, 7), 0.1, 1e-6);
+  EXPECT_NEAR(took(2s, 7), 0.05, 1e-6);
+  EXPECT_NEAR(took(8s, 7), 0.1, 1e-6) << "met too long ago";
+  took(9s, 8);
+  took(10s, 9);
+  EXPECT_NEAR(took(11s, 7), 0.1, 1e-6) << "forgotten for two others";
+}
+
+TEST(LabDiscovery, WordComesLateAndAServiceOverItsCapacityAnswers503) {
+  DiscoverySpec spec;
+  spec.noticeS = Range(2);
+  spec.callMs = 500;
+  spec.lineUs = 0;
+  spec.timeoutMs = 900;
+  DiscoveryModel list(spec, 1);
+  list.tellAtOnce(0s, {1, Phase::in, {}});
+  list.tell(10s, {1, Phase::out, {}});
+  EXPECT_TRUE(list.advance(11900ms).empty());
+  EXPECT_EQ(list.advance(12100ms).size(), 1u);
+  bool whole = true;
+  EXPECT_EQ(list.since(1, whole).size(), 1u);
+  EXPECT_FALSE(whole);
+  EXPECT_TRUE(list.call(20s, 1).ok);
+  EXPECT_TRUE(list.call(20s, 1).ok);
+  const DiscoveryModel::Call third = list.call(20s, 1);  // would have to wait 1 s
+  EXPECT_FALSE(third.ok);
+  EXPECT_EQ(third.at, 20900ms);
+}
+
+// --- The referee ------------------------------------------------------------------------------------------
+
+// Passes everything on to the module, but for what a test makes it do wrong.
+class Broken : public BalancerPolicy {
+ public:
+  using BalancerPolicy::BalancerPolicy;
+  std::vector<Action>& actions() override {
+    std::vector<Action>& out = BalancerPolicy::actions();
+    change(out);
+    return out;
+  }
+
+ protected:
+  virtual void change(std::vector<Action>& actions) = 0;
+};
+
+// Sends a seal once more to another host, at the moment of its first sending.
+class RepeatsASeal : public Broken {
+ public:
+  using Broken::Broken;
+  void onRequest(ochrehill::Time now, const ochrehill::Request& q) override {
+    if (q.classIndex == 2) seals_.insert(q.id);
+    Broken::onRequest(now, q);
+  }
+
+ protected:
+  void change(std::vector<Action>& actions) override {
+    std::vector<Action> more;
+    for (const Action& a : actions)
+      if (a.kind == ActionKind::send) {
+        if (seals_.erase(a.request) > 0 && last_ != ochrehill::kNone && last_ != a.host) {
+          Action again = a;
+          again.host = last_;
+          again.attempt = a.attempt + 1;
+          more.push_back(again);
+        }
+        last_ = a.host;
+      }
+    actions.insert(actions.end(), more.begin(), more.end());
+  }
+
+ private:
+  std::set<ochrehill::RequestId> seals_;
+  HostId last_ = ochrehill::kNone;
+};
+
+// Never hears that a host drains or is gone.
+class ForgetsADrain : public BalancerPolicy {
+ public:
+  using BalancerPolicy::BalancerPolicy;
+  void onHosts(ochrehill::Time now, ochrehill::ListKind kind,
+               const std::vector<ochrehill::HostEntry>& entries) override {
+    std::vector<ochrehill::HostEntry> kept = entries;
+    for (auto& e : kept) e.phase = Phase::in;
+    BalancerPolicy::onHosts(now, kind, kept);
+  }
+};
+
+// Takes every host for warm.
+class FloodsAColdHost : public BalancerPolicy {
+ public:
+  using BalancerPolicy::BalancerPolicy;
+  void onHosts(ochrehill::Time now, ochrehill::ListKind kind,
+               const std::vector<ochrehill::HostEntry>& entries) override {
+    std::vector<ochrehill::HostEntry> kept = entries;
+    for (auto& e : kept) e.upSince = {};
+    BalancerPolicy::onHosts(now, kind, kept);
+  }
+};
+
+class AnswersTwice : public Broken {
+ public:
+  using Broken::Broken;
+
+ protected:
+  void change(std::vector<Action>& actions) override {
+    std::vector<Action> twice;
+    for (const Action& a : actions) {
+      twice.push_back(a);
+      if (a.kind == ActionKind::refuse) twice.push_back(a);
+    }
+    actions = twice;
+  }
+};
+
+// Sits on each refusal for a second.
+class HoldsARefusalBack : public Broken {
+ public:
+  using Broken::Broken;
+  void onWake(ochrehill::Time now) override {
+    now_ = now;
+    Broken::onWake(now);
+  }
+  void onRequest(ochrehill::Time now, const ochrehill::Request& q) override {
+    now_ = now;
+    Broken::onRequest(now, q);
+  }
+
+ protected:
+  void change(std::vector<Action>& actions) override {
+    std::vector<Action> kept;
+    for (const Action& a : actions)
+      if (a.kind == ActionKind::refuse) held_.push_back({now_ + 800ms, a});
+      else kept.push_back(a);
+    while (!held_.empty() && held_.front().first <= now_) {
+      kept.push_back(held_.front().second);
+      held_.pop_front();
+    }
+    actions = kept;
+  }
+
+ private:
+  ochrehill::Time now_{};
+  std::deque<std::pair<ochrehill::Time, Action>> held_;
+};
+
+// Loses one request in a hundred: its actions never come out.
+class LosesRequests : public BalancerPolicy {
+ public:
+  using BalancerPolicy::BalancerPolicy;
+  void onRequest(ochrehill::Time now, const ochrehill::Request& q) override {
+    if (++count_ % 100 != 0) BalancerPolicy::onRequest(now, q);
+  }
+
+ private:
+  unsigned count_ = 0;
+};
+
+// Refuses a seal that timed out at a host, as if nothing could have come of it.
+class RefusesWithoutProof : public Broken {
+ public:
+  using Broken::Broken;
+
+ protected:
+  void change(std::vector<Action>& actions) override {
+    for (Action& a : actions)
+      if (a.kind == ActionKind::fail) a.kind = ActionKind::refuse;
+  }
+};
+
+template <class P>
+PolicyMaker maker() {
+  return [](const ochrehill::Settings& s, ochrehill::Time now) { return std::make_unique<P>(s, now); };
+}
+
+std::uint64_t breaches(const DayResult& day, Rule rule) {
+  return day.breaches[static_cast<std::size_t>(rule)];
+}
+
+constexpr const char* kDrain = R"([{"kind": "drain", "at_s": 2, "length_s": 8, "part": 0.3, "extra": 6}])";
+constexpr const char* kRestart =
+    R"([{"kind": "restart", "at_s": 2, "length_s": 0, "part": 0.9, "extra": 0.1}])";
+constexpr const char* kSlow =
+    R"([{"kind": "shared_slow", "at_s": 2, "length_s": 8, "size": 6}, {"kind": "reset", "at_s": 1, "length_s": 10,
+        "part": 0.5, "size": 0.2}])";
+
+TEST(LabReferee, CatchesEachBrokenPolicyByNameAndNotTheModule) {
+  const struct {
+    Rule rule;
+    PolicyMaker broken;
+    Scenario day;
+    std::set<Rule> also = {};  // may come of it too
+  } cases[] = {
+      {Rule::doubleEffect, maker<RepeatsASeal>(), smallDay()},
+      {Rule::sentAfterDrain, maker<ForgetsADrain>(), smallDay(kDrain)},
+      {Rule::coldPushed, maker<FloodsAColdHost>(), smallDay(kRestart, "1.6")},
+      {Rule::answeredTwice, maker<AnswersTwice>(), smallDay(kSlow)},
+      {Rule::heldBack, maker<HoldsARefusalBack>(), smallDay(kSlow), {Rule::lost}},
+      {Rule::lost, maker<LosesRequests>(), smallDay()},
+      {Rule::unprovenRefusal, maker<RefusesWithoutProof>(), smallDay(kSlow)},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(std::string(nameOf(c.rule)));
+    const DayResult broken = playDay(c.day, 1, c.broken);
+    EXPECT_GT(breaches(broken, c.rule), 0u);
+    for (std::size_t i = 0; i < kRules; ++i)
+      if (static_cast<Rule>(i) != c.rule && c.also.count(static_cast<Rule>(i)) == 0) {
+        EXPECT_EQ(broken.breaches[i], 0u) << "also: " << nameOf(static_cast<Rule>(i));
+      }
+    const DayResult good = playDay(c.day, 1, makeBalancer);
+    for (const Breach& b : good.firstBreaches) ADD_FAILURE() << nameOf(b.rule) << ": " << b.what;
+  }
+}
+
+// --- Days -------------------------------------------------------------------------------------------------
+
+constexpr const char* kEverything = R"([
+  {"kind": "slow", "at_s": 1, "length_s": 4, "part": 0.3, "size": 5},
+  {"kind": "fast_errors", "at_s": 2, "length_s": 4, "part": 0.3, "size": 0.8},
+  {"kind": "neighbour", "at_s": 1, "length_s": 6, "part": 0.5, "size": 0.5, "extra": 1},
+  {"kind": "stale_list", "at_s": 1, "length_s": 5, "size": 4},
+  {"kind": "discovery_down", "at_s": 3, "length_s": 2},
+  {"kind": "gateway_roll", "at_s": 4, "length_s": 4, "part": 1, "size": 0.5, "extra": 0.5},
+  {"kind": "shared_slow", "at_s": 6, "length_s": 2, "size": 1.5},
+  {"kind": "drain", "at_s": 2, "length_s": 6, "part": 0.2, "extra": 3},
+  {"kind": "replace", "at_s": 3, "length_s": 6, "part": 1, "extra": 0.5},
+  {"kind": "restart", "at_s": 5, "length_s": 0, "part": 0.2, "extra": 1},
+  {"kind": "zone_loss", "at_s": 8, "length_s": 2, "zone": "b"},
+  {"kind": "silent_cut", "at_s": 5, "length_s": 2, "part": 0.2},
+  {"kind": "reset", "at_s": 1, "length_s": 9, "part": 0.5, "size": 0.1},
+  {"kind": "spoilt", "at_s": 1, "length_s": 9, "part": 0.5, "size": 0.1},
+  {"kind": "slow_peers", "at_s": 2, "length_s": 3, "part": 0.3, "extra": 0.2}])";
+
+std::string bytesOf(const std::vector<DayResult>& days) {
+  std::string out;
+  for (const DayResult& d : days) out += toJson(d, true).dump();
+  return out;
+}
+
+TEST(LabDay, WithEveryTroubleAtOnceItRepeatsByteForByteForAnyNumberOfJobs) {
+  const Scenario day = smallDay(kEverything);
+  const std::string one = bytesOf(playDays(day, 1, 4, 1, makeBalancer));
+  EXPECT_EQ(one, bytesOf(playDays(day, 1, 4, 4, makeBalancer)));
+  EXPECT_NE(one, bytesOf(playDays(day, 2, 4, 4, makeBalancer))) << "the seed changes nothing";
+}
+
+TEST(LabDay, EveryWishEndsOnce) {
+  for (const DayResult& day : playDays(smallDay(kEverything), 1, 4, 4, makeBalancer))
+    for (const ClassTally& c : day.tally.classes) {
+      std::uint64_t ends = 0;
+      for (std::uint64_t n : c.fates) ends += n;
+      EXPECT_EQ(ends, c.wishes) << c.name;
+      EXPECT_GT(c.fates[static_cast<std::size_t>(Fate::inTime)], 0u) << c.name;
+    }
+}
+
+TEST(LabDay, TheModuleKeepsTheRulesWithEveryTroubleAtOnce) {
+  for (const DayResult& day : playDays(smallDay(kEverything), 1, 8, 4, makeBalancer))
+    for (const Breach& b : day.firstBreaches)
+      ADD_FAILURE() << "seed " << day.seed << " at " << toSeconds(b.at) << " s: " << nameOf(b.rule) << ": "
+                    << b.what;
+}
+
+// --- Scenarios and experiments ----------------------------------------------------------------------------
+
+TEST(LabScenario, EachMistakeIsOneLineThatNamesTheField) {
+  const struct {
+    const char *text, *where, *what;
+  } cases[] = {
+      {R"({"lenght_s": 3})", "lenght_s", "is not known; known here: zones"},
+      {R"({"length_s": "3"})", "length_s", "should be a number (s)"},
+      {R"({"hosts": {"kinds": [{"speed": 0}]}})", "hosts.kinds[0].speed",
+       "is 0; it should be 0.01 to 100 (yardsticks)"},
+      {R"({"hosts": {"kinds": [{"speed": [2, 1]}]}})", "hosts.kinds[0].speed", "the smaller one"},
+      {R"({"hosts": {"kinds": []}})", "hosts.kinds", "with an entry"},
+      {R"({"hosts": {"count": 1.5}})", "hosts.count", "whole number"},
+      {R"({"hosts": {"start": "hot"}})", "hosts.start", "\"warm\" or \"cold\""},
+      {R"({"limits": {"cancel": 1}})", "limits.cancel", "true or false"},
+      {R"({"classes": [{"effect": "safe"}]})", "classes[0].effect", "retryable, dedup or fragile"},
+      {R"({"classes": [{"aim_ms": 900, "give_up_ms": 800}]})", "classes.status.give_up_ms", "below aim_ms"},
+      {R"({"troubles": [{"kind": "rain"}]})", "troubles[0].kind", "'rain' is no trouble; known: slow"},
+      {R"({"troubles": [{"kind": "zone_loss", "zone": "x"}]})", "troubles[0].zone", "no zone is named 'x'"},
+      {R"({"zones": [{"traffic": 0}]})", "zones.traffic", "all 0"},
+      {R"([])", "", "should be an object"},
+  };
+  for (const auto& c : cases) {
+    const ScenarioReading reading = readScenario(nlohmann::json::parse(c.text));
+    ASSERT_EQ(reading.mistakes.size(), 1u) << c.text;
+    EXPECT_EQ(reading.mistakes[0].where, c.where);
+    EXPECT_NE(reading.mistakes[0].what.find(c.what), std::string::npos) << reading.mistakes[0].what;
+  }
+}
+
+TEST(LabExperiment, ADifferenceIsToldFromNoise) {
+  std::vector<double> a, noisy, better;
+  Random random(1, "test");
+  for (int i = 0; i < 40; ++i) {
+    a.push_back(random.between(0.4, 0.9));
+    noisy.push_back(a.back() + 0.05 * random.normal());
+    better.push_back(a.back() + 0.05 * random.normal() + 0.05);
+  }
+  EXPECT_TRUE(compare("x", a, noisy).noise());
+  const Difference d = compare("x", a, better);
+  EXPECT_FALSE(d.noise());
+  EXPECT_LT(d.low, 0.05);
+  EXPECT_GT(d.high, 0.05);
+}
+
+TEST(LabExperiment, APolicyThatThrowsEndsTheRun) {
+  const PolicyMaker throws = [](const ochrehill::Settings&, ochrehill::Time) -> std::unique_ptr<Policy> {
+    throw std::runtime_error("broken");
+  };
+  EXPECT_THROW(playDays(smallDay(), 1, 8, 4, throws), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace fennelridge::lab
