Laboratory: an HTML report of a run, or of two side by side

Need: figures say whether a change helps, not why. The report shows worth in time by class with the troubles marked, latency, refusals with the cutoff, attempts by outcome, a heat map of the hosts, and A against B with the bootstrap interval; one file, inline SVG, opens offline.

--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -10,6 +10,7 @@
 
 #include "lab/experiment.hpp"
 #include "lab/progress_bar.hpp"
+#include "lab/report.hpp"
 #include "lab/virtual_fleet.hpp"
 
 namespace fennelridge::lab {
@@ -330,4 +331,31 @@
   });
 }
 
+void addReport(CLI::App& app, int&) {
+  auto* command =
+      app.add_subcommand("report", "one HTML file of a run, or of two set side by side; opens offline");
+  struct Options {
+    std::vector<std::string> files;
+    std::string out = "report.html";
+  };
+  auto o = std::make_shared<Options>();
+  command->add_option("results", o->files, "A.json, or A.json B.json, of `run --full --out`")
+      ->required()
+      ->expected(1, 2);
+  command->add_option("--out", o->out, "the file to write");
+  command->footer(
+      "Example:\n  fennelridge-lab run scenarios/rough.json --full --out a.json\n"
+      "  fennelridge-lab report a.json --out rough.html");
+  command->callback([o] {
+    const ordered a = resultsFrom(o->files[0], {}, {});
+    const ordered b = o->files.size() > 1 ? resultsFrom(o->files[1], {}, {}) : ordered();
+    try {
+      writeFile(o->out, renderReport(a, o->files.size() > 1 ? &b : nullptr));
+    } catch (const std::invalid_argument& bad) {
+      throw BadInput(bad.what());
+    }
+    std::printf("%s\n", o->out.c_str());
+  });
+}
+
 }  // namespace fennelridge::lab
--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -26,5 +26,6 @@
 void addRun(CLI::App& app, int& result);
 void addCompare(CLI::App& app, int& result);
 void addSweep(CLI::App& app, int& result);
+void addReport(CLI::App& app, int& result);
 
 }  // namespace fennelridge::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -17,6 +17,7 @@
   addRun(app, result);
   addCompare(app, result);
   addSweep(app, result);
+  addReport(app, result);
   addCheck(app, result);
   addFields(app, result);
   try {
