--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -42,13 +42,6 @@
   return out;
 }
 
-void writeFile(const std::string& path, const std::string& text) {
-  std::ofstream file(path, std::ios::binary);
-  file << text;
-  file.close();
-  if (!file) throw BadInput(path + ": cannot be written");
-}
-
 std::string brokenRules(const DayResult& day) {
   std::string text;
   for (std::size_t i = 0; i < kRules; ++i)
@@ -58,25 +51,6 @@
   return text.empty() ? "-" : text;
 }
 
-void printDays(const std::vector<DayResult>& days) {
-  std::printf("%8s %8s %8s %8s %8s %8s  %s\n", "seed", "service", "in time", "window", "class", "wasted",
-              "rules broken");
-  double service = 0, inTime = 0, window = 0, cls = 0, wasted = 0;
-  for (const DayResult& d : days) {
-    std::printf("%8llu %8.3f %8.3f %8.3f %8.3f %8.3f  %s\n", static_cast<unsigned long long>(d.seed),
-                d.service(), d.inTime(), d.worstWindow(), d.worstClass(), d.wasted(), brokenRules(d).c_str());
-    const auto n = static_cast<double>(days.size());
-    service += d.service() / n, inTime += d.inTime() / n, window += d.worstWindow() / n;
-    cls += d.worstClass() / n, wasted += d.wasted() / n;
-  }
-  std::printf("%8s %8.3f %8.3f %8.3f %8.3f %8.3f\n", "mean", service, inTime, window, cls, wasted);
-  for (const DayResult& d : days)
-    for (const Breach& b : d.firstBreaches)
-      std::printf("RULE BROKEN, seed %llu, at %.3f s, gateway %u: %s: %s\n",
-                  static_cast<unsigned long long>(d.seed), toSeconds(b.at), b.gateway,
-                  std::string(nameOf(b.rule)).c_str(), b.what.c_str());
-}
-
 std::vector<DayResult> play(const Scenario& scenario, const RunOptions& o, const std::string& what) {
   ProgressBar bar(what);
   return playDays(scenario, o.first, o.seeds, o.jobs, makeBalancer, bar.callback());
@@ -140,6 +114,32 @@
 
 }  // namespace
 
+void writeFile(const std::string& path, const std::string& text) {
+  std::ofstream file(path, std::ios::binary);
+  file << text;
+  file.close();
+  if (!file) throw BadInput(path + ": cannot be written");
+}
+
+void printDays(const std::vector<DayResult>& days) {
+  std::printf("%8s %8s %8s %8s %8s %8s  %s\n", "seed", "service", "in time", "window", "class", "wasted",
+              "rules broken");
+  double service = 0, inTime = 0, window = 0, cls = 0, wasted = 0;
+  for (const DayResult& d : days) {
+    std::printf("%8llu %8.3f %8.3f %8.3f %8.3f %8.3f  %s\n", static_cast<unsigned long long>(d.seed),
+                d.service(), d.inTime(), d.worstWindow(), d.worstClass(), d.wasted(), brokenRules(d).c_str());
+    const auto n = static_cast<double>(days.size());
+    service += d.service() / n, inTime += d.inTime() / n, window += d.worstWindow() / n;
+    cls += d.worstClass() / n, wasted += d.wasted() / n;
+  }
+  std::printf("%8s %8.3f %8.3f %8.3f %8.3f %8.3f\n", "mean", service, inTime, window, cls, wasted);
+  for (const DayResult& d : days)
+    for (const Breach& b : d.firstBreaches)
+      std::printf("RULE BROKEN, seed %llu, at %.3f s, gateway %u: %s: %s\n",
+                  static_cast<unsigned long long>(d.seed), toSeconds(b.at), b.gateway,
+                  std::string(nameOf(b.rule)).c_str(), b.what.c_str());
+}
+
 Scenario openScenario(const std::string& path, const std::vector<std::string>& assignments) {
   ScenarioReading reading;
   if (assignments.empty()) {
--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/scenario.hpp"
+#include "lab/tally.hpp"
 
 namespace fennelridge::lab {
 
@@ -27,5 +28,12 @@
 void addCompare(CLI::App& app, int& result);
 void addSweep(CLI::App& app, int& result);
 void addReport(CLI::App& app, int& result);
+void addEmulate(CLI::App& app, int& result);
+void addLive(CLI::App& app, int& result);
+void addDemo(CLI::App& app, int& result);
+
+// What commands share.
+void writeFile(const std::string& path, const std::string& text);  // throws BadInput
+void printDays(const std::vector<DayResult>& days);                // a table; broken rules with their seeds
 
 }  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/commands_live.cpp
@@ -0,0 +1,202 @@
+// The sub-commands that work in real time, on loopback sockets.
+#include <signal.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "lab/commands.hpp"
+#include "lab/gateway_process.hpp"
+#include "lab/live_day.hpp"
+#include "lab/live_fleet.hpp"
+#include "lab/report.hpp"
+
+namespace fennelridge::lab {
+namespace {
+
+namespace fs = std::filesystem;
+using ordered = nlohmann::ordered_json;
+
+std::atomic<bool> interrupted{false};
+
+void heedInterrupts() {
+  ::signal(SIGPIPE, SIG_IGN);
+  for (int signal : {SIGINT, SIGTERM}) ::signal(signal, [](int) { interrupted = true; });
+}
+
+std::string besideThisProgram(const char* name) {
+  std::error_code ignored;
+  return (fs::read_symlink("/proc/self/exe", ignored).parent_path() / name).string();
+}
+
+// A folder of its own under the temporary one, gone with the object.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string name = (fs::temp_directory_path() / "fennelridge-lab-XXXXXX").string();
+    if (!::mkdtemp(name.data())) throw BadInput(name + ": cannot be made");
+    path_ = name;
+  }
+  ~TemporaryFolder() {
+    std::error_code ignored;
+    fs::remove_all(path_, ignored);
+  }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  std::string path() const { return path_.string(); }
+
+ private:
+  fs::path path_;
+};
+
+struct LiveCommand {
+  std::string scenario, gateway = besideThisProgram("cairnjunction"), out, report;
+  std::vector<std::string> set;
+  std::uint64_t seed = 1;
+  bool json = false;
+};
+
+void checkProgram(const std::string& path) {
+  if (::access(path.c_str(), X_OK) != 0)
+    throw BadInput(path + ": is no program; name the gateway with --gateway");
+}
+
+int tell(const LiveResult& live, const LiveCommand& o) {
+  ordered results{{"scenario", live.day.scenario}, {"days", ordered::array({toJson(live.day, true)})}};
+  ordered& day = results["days"][0];
+  day["live"] = {{"void", live.isVoid},
+                 {"void_reason", live.voidReason},
+                 {"latest_ms", live.latestMs},
+                 {"gateway_cpu_us_a_request", live.gatewayCpuUs},
+                 {"gateways_died", live.gatewaysDied}};
+  if (!o.out.empty()) writeFile(o.out, results.dump(1) + "\n");
+  if (!o.report.empty()) writeFile(o.report, renderReport(results, nullptr));
+  if (o.json) {
+    std::cout << results.dump(1) << '\n';
+  } else {
+    printDays({live.day});
+    std::printf("gateways: %.0f us of CPU a request; the laboratory was %.1f ms late at most\n",
+                live.gatewayCpuUs, live.latestMs);
+    if (live.gatewaysDied > 0) std::printf("GATEWAYS DIED: %u\n", live.gatewaysDied);
+    if (live.isVoid) std::printf("VOID: %s\n", live.voidReason.c_str());
+  }
+  return live.day.clean() && !live.isVoid && live.gatewaysDied == 0 ? kYes : kNo;
+}
+
+}  // namespace
+
+void addLive(CLI::App& app, int& result) {
+  auto* command = app.add_subcommand("live",
+                                     "play one day in real time against real gateway processes; exit 1 if a "
+                                     "rule was broken, a gateway died or the run is void");
+  auto o = std::make_shared<LiveCommand>();
+  command->add_option("scenario", o->scenario, "scenario file")->required();
+  command->add_option("--seed", o->seed, "seed of the day");
+  command->add_option("--gateway", o->gateway, "the gateway's program");
+  command->add_option("--set", o->set, "set a field first, such as clients.load=0.9");
+  command->add_option("--out", o->out, "write the results as JSON to this file too");
+  command->add_option("--report", o->report, "write an HTML report to this file");
+  command->add_flag("--json", o->json, "print JSON");
+  command->footer("Example:\n  fennelridge-lab live scenarios/rough.json --seed 3 --report rough.html");
+  command->callback([o, &result] {
+    const Scenario scenario = openScenario(o->scenario, o->set);
+    checkProgram(o->gateway);
+    heedInterrupts();
+    TemporaryFolder folder;
+    LiveOptions options;
+    options.gateway = fs::absolute(o->gateway).string();
+    options.folder = folder.path();
+    options.showEachSecond = !o->json;
+    options.stopped = [] { return interrupted.load(); };
+    result = tell(playLive(scenario, o->seed, options), *o);
+  });
+}
+
+void addEmulate(CLI::App& app, int&) {
+  auto* command = app.add_subcommand("emulate",
+                                     "serve a scenario's hosts and discovery on loopback until Ctrl-C, for a "
+                                     "gateway started by hand");
+  struct Options {
+    std::string scenario, folder = ".";
+    std::vector<std::string> set;
+    std::uint64_t seed = 1;
+  };
+  auto o = std::make_shared<Options>();
+  command->add_option("scenario", o->scenario, "scenario file")->required();
+  command->add_option("--seed", o->seed, "seed of the day");
+  command->add_option("--set", o->set, "set a field first");
+  command->add_option("--folder", o->folder, "where the gateways' configuration files are written");
+  command->footer("Example:\n  fennelridge-lab emulate scenarios/quiet.json --folder /tmp");
+  command->callback([o] {
+    const Scenario scenario = openScenario(o->scenario, o->set);
+    heedInterrupts();
+    boost::asio::io_context io(1);
+    LiveClock clock(io);
+    LiveFleet fleet(io, clock, scenario, o->seed, nullptr);
+    const auto text = [](const boost::asio::ip::tcp::endpoint& e) {
+      return e.address().to_string() + ":" + std::to_string(e.port());
+    };
+    std::printf("%zu hosts on loopback. Start a gateway with:\n", fleet.hosts());
+    for (std::uint32_t g = 0; g < fleet.layout().gatewayZones.size(); ++g) {
+      const std::string zone = scenario.zones[fleet.layout().gatewayZones[g]].name;
+      const std::string file =
+          (fs::absolute(o->folder) / ("gateway-" + std::to_string(g) + ".json")).string();
+      const std::string listen = text(freeAddress());
+      writeFile(file, nlohmann::json{{"name", "g" + std::to_string(g)},
+                                     {"listen", listen},
+                                     {"discovery", text(fleet.discoveryOf(g))},
+                                     {"known", fleet.list()},
+                                     {"settings",
+                                      platformSettings(moduleSettings(scenario, g, zone, o->seed), scenario)}}
+                          .dump(1));
+      std::printf("  GW_CONFIG=%s build/cairnjunction   # clients at %s\n", file.c_str(), listen.c_str());
+    }
+    std::printf("Ctrl-C ends it.\n");
+    std::fflush(stdout);
+    fleet.beginTroubles([](const Step&) {});
+    while (!interrupted) io.run_for(std::chrono::milliseconds(50));
+  });
+}
+
+void addDemo(CLI::App& app, int& result) {
+  auto* command =
+      app.add_subcommand("demo",
+                         "15 s of a small fleet with two real gateways: a live table, a host taken "
+                         "out by hand, another killed, a report");
+  auto o = std::make_shared<LiveCommand>();
+  o->scenario = "scenarios/demo.json";
+  o->report = "fennelridge-demo.html";
+  command->add_option("--scenario", o->scenario, "scenario file");
+  command->add_option("--gateway", o->gateway, "the gateway's program");
+  command->add_option("--seed", o->seed, "seed of the day");
+  command->add_option("--report", o->report, "the report to write");
+  command->footer("Example:\n  fennelridge-lab demo --report /tmp/demo.html");
+  command->callback([o, &result] {
+    const Scenario scenario = openScenario(o->scenario);
+    if (scenario.hosts.count < 3)
+      throw BadInput(o->scenario + ": hosts.count: the demonstration needs 3 at least");
+    checkProgram(o->gateway);
+    heedInterrupts();
+    TemporaryFolder folder;
+    LiveOptions options;
+    options.gateway = fs::absolute(o->gateway).string();
+    options.folder = folder.path();
+    options.showEachSecond = options.demo = true;
+    options.stopped = [] { return interrupted.load(); };
+    std::printf("%u gateways, %u hosts, clients and discovery on loopback, for %.0f s:\n\n",
+                scenario.gateways.count, scenario.hosts.count, scenario.lengthS);
+    const LiveResult live = playLive(scenario, o->seed, options);
+    if (live.stopped) {
+      std::printf("stopped; nothing is left running\n");
+      return;
+    }
+    std::printf("\n");
+    result = tell(live, *o);
+    std::printf("report: %s\n", fs::absolute(o->report).string().c_str());
+  });
+}
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/gateway_process.cpp
@@ -0,0 +1,147 @@
+#include "lab/gateway_process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <vector>
+
+#include "lab/agenda.hpp"
+
+namespace fennelridge::lab {
+namespace {
+
+using boost::asio::ip::tcp;
+using nlohmann::json;
+
+std::string textOf(const tcp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
+}  // namespace
+
+GatewayProcess::GatewayProcess(std::string program, Place place)
+    : program_(std::move(program)), place_(std::move(place)) {}
+
+GatewayProcess::~GatewayProcess() {
+  if (pid_ <= 0) return;
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+}
+
+void GatewayProcess::start(const json& settings, const json& known, std::uint64_t seed) {
+  std::filesystem::create_directories(place_.folder / "tmp");
+  char hex[20];
+  std::snprintf(hex, sizeof hex, "%016llx", static_cast<unsigned long long>(seed));
+  const std::filesystem::path file = place_.folder / "config.json";
+  std::ofstream(file) << json{
+      {"name", place_.name},
+      {"listen", textOf(place_.listen)},
+      {"discovery", textOf(place_.discovery)},
+      {"admin_addr", textOf(place_.admin)},
+      {"seed", hex},
+      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 4096}}},
+      {"known", known},
+      {"settings", settings}}.dump(1);
+  std::vector<std::string> variables{"GW_NAME=" + place_.name,
+                                     "GW_LISTEN=" + textOf(place_.listen),
+                                     "GW_DISCOVERY=" + textOf(place_.discovery),
+                                     "GW_ADMIN_ADDR=" + textOf(place_.admin),
+                                     "GW_CONFIG=" + file.string(),
+                                     "TMPDIR=" + (place_.folder / "tmp").string(),
+                                     "PATH=/usr/bin:/bin"};
+  std::vector<char*> environment;
+  for (std::string& v : variables) environment.push_back(v.data());
+  environment.push_back(nullptr);
+  const std::string log = (place_.folder / "log.txt").string();
+  char* arguments[] = {program_.data(), nullptr};
+  pid_ = ::fork();
+  if (pid_ < 0) throw std::runtime_error("no further process can be started");
+  if (pid_ == 0) {  // only calls that are safe between fork and exec
+    const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (fd >= 0) ::dup2(fd, 1), ::dup2(fd, 2);
+    ::close_range(3, ~0U, 0);  // Danger: it would hold the hosts' sockets open beyond their end
+    ::setpgid(0, 0);  // Ctrl-C reaches the laboratory, which stops the gateways itself
+    ::execve(program_.c_str(), arguments, environment.data());
+    ::_exit(127);
+  }
+  killed_ = false;
+}
+
+void GatewayProcess::kill(int signal) {
+  if (pid_ <= 0) return;
+  killed_ = true;
+  ::kill(pid_, signal);
+}
+
+bool GatewayProcess::running() {
+  if (pid_ <= 0) return false;
+  if (::waitpid(pid_, nullptr, WNOHANG) == 0) return true;
+  pid_ = -1;
+  died_ |= !killed_;
+  return false;
+}
+
+double GatewayProcess::cpuSeconds() const {
+  if (pid_ <= 0) return 0;
+  std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), {});
+  const auto from = text.rfind(')');
+  if (from == std::string::npos) return 0;
+  double user = 0, system = 0;
+  std::sscanf(text.c_str() + from + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lf %lf", &user, &system);
+  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+json platformSettings(const ochrehill::Settings& m, const Scenario& s) {
+  json grades = json::array();
+  for (std::size_t i = 0; i < s.classes.size(); ++i) {
+    const ClassSpec& c = s.classes[i];
+    const ochrehill::ClassSettings& k = m.classes[i];
+    grades.push_back({{"name", c.name},
+                      {"aimNs", k.aim.count()},
+                      {"giveUpNs", k.giveUp.count()},
+                      {"windowNs", k.window.count()},
+                      {"points", c.worth},
+                      {"lateShare", c.lateShare},
+                      {"effect", c.effect},
+                      {"group", c.group}});
+  }
+  return {{"groupSize", m.groupSize},
+          {"myNumber", m.number},
+          {"zone", m.zone},
+          {"registryMode", "ask"},
+          {"weights", "none"},
+          {"stepNs", m.step.count()},
+          {"domain", {{"warmKeys", m.warmKeys}}},
+          {"ceilings",
+           {{"parallelTries", m.parallelTries},
+            {"retryAfter", m.retryAfter},
+            {"cancel", m.cancel},
+            {"maxAttempts", m.maxAttempts},
+            {"idleCloseNs", m.idleClose.count()},
+            {"maxRetryAfterNs", m.maxRetryAfter.count()},
+            {"connectTimeoutNs", fromMillis(s.hosts.connections.timeoutMs).count()}}},
+          {"rules",
+           {{"askWithinNs", m.askWithin.count()},
+            {"coldNs", m.coldTime.count()},
+            {"coldShare", m.coldShare},
+            {"fallMultiple", m.fallMultiple},
+            {"fallNs", m.fallWindow.count()}}},
+          {"report", {{"fields", {"latency_ms", "util"}}, {"via", "answers"}}},
+          {"grades", grades}};
+}
+
+tcp::endpoint freeAddress() {
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint();
+}
+
+}  // namespace fennelridge::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -12,12 +12,16 @@
   app.require_subcommand(1);
   app.footer(
       "Exit codes: 0 yes; 1 no (a rule was broken, a run was void); 2 bad usage or input.\n"
-      "Examples:\n  fennelridge-lab run scenarios/rough.json --seeds 20\n  fennelridge-lab COMMAND --help");
+      "Examples:\n  fennelridge-lab demo\n  fennelridge-lab run scenarios/rough.json --seeds 20\n  "
+      "fennelridge-lab COMMAND --help");
   int result = kYes;
   addRun(app, result);
   addCompare(app, result);
   addSweep(app, result);
   addReport(app, result);
+  addLive(app, result);
+  addEmulate(app, result);
+  addDemo(app, result);
   addCheck(app, result);
   addFields(app, result);
   try {
--- a/test.sh
+++ b/test.sh
@@ -3,6 +3,7 @@
 # undefined-behaviour sanitizers.
 set -eu
 cd "$(dirname "$0")"
+./install-packages.sh
 dir=build-test sanitize=OFF
 if [ "${1:-}" = sanitize ]; then dir=build-sanitize sanitize=ON; fi
 cmake -B "$dir" -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_FLAGS=-Werror \
