--- a/src/lab/gateway_process.cpp
+++ b/src/lab/gateway_process.cpp
@@ -67,7 +67,7 @@
     const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     if (fd >= 0) ::dup2(fd, 1), ::dup2(fd, 2);
     ::close_range(3, ~0U, 0);  // Danger: it would hold the hosts' sockets open beyond their end
-    ::setpgid(0, 0);  // Ctrl-C reaches the laboratory, which stops the gateways itself
+    ::setpgid(0, 0);           // Ctrl-C reaches the laboratory, which stops the gateways itself
     ::execve(program_.c_str(), arguments, environment.data());
     ::_exit(127);
   }
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -346,7 +346,8 @@
 constexpr const char* kRestart =
     R"([{"kind": "restart", "at_s": 2, "length_s": 0, "part": 0.9, "extra": 0.1}])";
 constexpr const char* kSlow =
-    R"([{"kind": "shared_slow", "at_s": 2, "length_s": 8, "size": 6}, {"kind": "reset", "at_s": 1, "length_s": 10,
+    R"([{"kind": "shared_slow", "at_s": 2, "length_s": 8, "size": 6}, 
+        {"kind": "reset", "at_s": 1, "length_s": 10,
         "part": 0.5, "size": 0.2}])";
 
 TEST(LabReferee, CatchesEachBrokenPolicyByNameAndNotTheModule) {
