--- a/src/lab/commands_live.cpp
+++ b/src/lab/commands_live.cpp
@@ -64,6 +64,19 @@
     throw BadInput(path + ": is no program; name the gateway with --gateway");
 }
 
+// The day with gateways whose files go with it; Ctrl-C ends it early.
+LiveResult playHere(const Scenario& scenario, const LiveCommand& o, bool showEachSecond, bool demo) {
+  heedInterrupts();
+  TemporaryFolder folder;
+  LiveOptions options;
+  options.gateway = fs::absolute(o.gateway).string();
+  options.folder = folder.path();
+  options.showEachSecond = showEachSecond;
+  options.demo = demo;
+  options.stopped = [] { return interrupted.load(); };
+  return playLive(scenario, o.seed, options);
+}
+
 int tell(const LiveResult& live, const LiveCommand& o) {
   ordered results{{"scenario", live.day.scenario}, {"days", ordered::array({toJson(live.day, true)})}};
   ordered& day = results["days"][0];
@@ -104,14 +117,7 @@
   command->callback([o, &result] {
     const Scenario scenario = openScenario(o->scenario, o->set);
     checkProgram(o->gateway);
-    heedInterrupts();
-    TemporaryFolder folder;
-    LiveOptions options;
-    options.gateway = fs::absolute(o->gateway).string();
-    options.folder = folder.path();
-    options.showEachSecond = !o->json;
-    options.stopped = [] { return interrupted.load(); };
-    result = tell(playLive(scenario, o->seed, options), *o);
+    result = tell(playHere(scenario, *o, !o->json, false), *o);
   });
 }
 
@@ -179,16 +185,9 @@
     if (scenario.hosts.count < 3)
       throw BadInput(o->scenario + ": hosts.count: the demonstration needs 3 at least");
     checkProgram(o->gateway);
-    heedInterrupts();
-    TemporaryFolder folder;
-    LiveOptions options;
-    options.gateway = fs::absolute(o->gateway).string();
-    options.folder = folder.path();
-    options.showEachSecond = options.demo = true;
-    options.stopped = [] { return interrupted.load(); };
     std::printf("%u gateways, %u hosts, clients and discovery on loopback, for %.0f s:\n\n",
                 scenario.gateways.count, scenario.hosts.count, scenario.lengthS);
-    const LiveResult live = playLive(scenario, o->seed, options);
+    const LiveResult live = playHere(scenario, *o, true, true);
     if (live.stopped) {
       std::printf("stopped; nothing is left running\n");
       return;
--- a/src/lab/host_model.hpp
+++ b/src/lab/host_model.hpp
@@ -61,7 +61,6 @@
   std::uint64_t key = 0;
   bool hasKey = false, handshake = false;  // on a new connection
   Time deadline = kNever;                  // when in the waiting room past this it is turned away unseen
-  std::uint32_t sender = 0;                // the gateway
   bool senderKnowsStart = false;           // it had been told of this host's latest start
 };
 
--- a/src/lab/live_day.cpp
+++ b/src/lab/live_day.cpp
@@ -189,7 +189,6 @@
 
   void startGateway(std::uint32_t number);
   void askReady(std::uint32_t number, Time since);
-  void waitReady();
   void nextFirstTry();
   void startTry(std::uint32_t wish);
   void sendTry(const std::shared_ptr<Try>& t);
--- a/src/lab/live_fleet.cpp
+++ b/src/lab/live_fleet.cpp
@@ -326,7 +326,6 @@
     job.hasKey = job.key != 0;
     job.handshake = fresh.erase(c.get()) > 0;
     const std::uint32_t gateway = eyes ? eyes->gatewayOf(id) : UINT32_MAX;
-    job.sender = gateway;
     job.senderKnowsStart =
         gateway < told.size() && told[gateway].count(number) > 0 && told[gateway][number] == h.startedAt;
     const bool stood = !h.model.fallen();
@@ -411,9 +410,7 @@
 
   void tell(const Listed& listed) {
     discovery.tell(clock.now(), listed);
-    clock.at(discovery.nextEvent(), [this, weak = weak_from_this()] {
-      if (const auto self = weak.lock()) moveList();
-    });
+    enterListMove();
   }
 
   void moveList() {
@@ -427,10 +424,17 @@
         });
       }
     }
-    if (discovery.nextEvent() != kNever)
-      clock.at(discovery.nextEvent(), [this, weak = weak_from_this()] {
-        if (const auto self = weak.lock()) moveList();
-      });
+    enterListMove();
+  }
+
+  // The time of the next word is entered once, however many changes wait for it.
+  void enterListMove() {
+    const Time next = discovery.nextEvent();
+    if (next == kNever || (listMovesAt > clock.now() && listMovesAt <= next)) return;
+    listMovesAt = next;
+    clock.at(next, [this, weak = weak_from_this()] {
+      if (const auto self = weak.lock()) moveList();
+    });
   }
 
   json entryOf(const Listed& l) const {
@@ -609,6 +613,7 @@
   std::vector<std::map<std::uint32_t, Time>> told;  // by gateway: hosts and the start it knows
   std::vector<Ended> ended;
   std::uint64_t jobs = 0;
+  Time listMovesAt{};
   double stale = 0;
   bool down = false;
 };
--- a/src/lab/virtual_fleet.cpp
+++ b/src/lab/virtual_fleet.cpp
@@ -108,8 +108,7 @@
 };
 
 struct Attempt {
-  std::uint32_t generation = 0, request = 0, requestGeneration = 0, number = 0, host = 0, gateway = 0,
-                epoch = 0;
+  std::uint32_t generation = 0, request = 0, number = 0, host = 0, gateway = 0;
   std::uint32_t boot = 0;  // of the host
   bool live = false, settled = false, fresh = false, counted = false, arrived = false;
   Time sentAt{};
@@ -247,8 +246,9 @@
   std::vector<ochrehill::Action> batch_;
   FirstTry coming_;
   bool trafficOver_ = false;
-  std::uint64_t events_ = 0, jobs_ = 0;
+  std::uint64_t events_ = 0;
   std::size_t attemptsOut_ = 0;
+  Time listMovesAt_{};
   double stale_ = 0;  // seconds by which the list is further behind
 };
 
@@ -609,11 +609,9 @@
   Attempt& a = attempts_[slot];
   Request& r = requests_[requestSlot];
   a.request = requestSlot;
-  a.requestGeneration = r.generation;
   a.number = action.attempt;
   a.host = host;
   a.gateway = number;
-  a.epoch = g.epoch;
   a.boot = hosts_[host].boot;
   a.sentAt = now_;
   if (r.out > 0) ++tally_.secondCopies;
@@ -743,7 +741,6 @@
   job.hasKey = true;
   job.handshake = a.fresh;
   job.deadline = r.deadline;
-  job.sender = a.gateway;
   const auto known = gateways_[a.gateway].known.find(a.host);
   job.senderKnowsStart = known != gateways_[a.gateway].known.end() && known->second.started == h.startedAt;
   const bool stood = !h.model.fallen();
@@ -893,7 +890,10 @@
       if (gateways_[g].alive && gateways_[g].watching)
         add(now_ + fromMillis(s_.discovery.spreadMs.draw(network_)),
             {What::listPushed, 0, g, gateways_[g].epoch});
-  if (discovery_.nextEvent() != kNever) add(discovery_.nextEvent(), {What::listMoves});
+  const Time next = discovery_.nextEvent();
+  if (next == kNever || (listMovesAt_ > now_ && listMovesAt_ <= next)) return;  // entered already
+  listMovesAt_ = next;
+  add(next, {What::listMoves});
 }
 
 void Fleet::tidy() {
--- a/tests/net_peers.hpp
+++ b/tests/net_peers.hpp
@@ -32,6 +32,18 @@
 
 inline constexpr auto kPatience = std::chrono::seconds(30);
 
+// Runs the loop until the predicate holds, for a generous time.
+template <class Predicate>
+::testing::AssertionResult runUntil(asio::io_context& io, Predicate predicate) {
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!predicate()) {
+    if (std::chrono::steady_clock::now() > end) return ::testing::AssertionFailure() << "waited in vain";
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+  return ::testing::AssertionSuccess();
+}
+
 inline tcp::endpoint loopback(unsigned short port = 0) { return {asio::ip::make_address("127.0.0.1"), port}; }
 inline std::string textOf(const tcp::endpoint& e) {
   return e.address().to_string() + ":" + std::to_string(e.port());
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -230,13 +230,7 @@
   }
   template <class Predicate>
   ::testing::AssertionResult until(Predicate predicate) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!predicate()) {
-      if (std::chrono::steady_clock::now() > end) return ::testing::AssertionFailure() << "waited in vain";
-      io.restart();
-      io.run_one_for(std::chrono::milliseconds(50));
-    }
-    return ::testing::AssertionSuccess();
+    return runUntil(io, predicate);
   }
   std::shared_ptr<Client> client() { return Client::connect(io, server->listening()); }
 };
