--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -31,6 +31,9 @@
 void addEmulate(CLI::App& app, int& result);
 void addLive(CLI::App& app, int& result);
 void addDemo(CLI::App& app, int& result);
+void addLoad(CLI::App& app, int& result);
+void addTrace(CLI::App& app, int& result);
+void addOverhead(CLI::App& app, int& result);
 
 // What commands share.
 void writeFile(const std::string& path, const std::string& text);  // throws BadInput
--- a/src/lab/commands_live.cpp
+++ b/src/lab/commands_live.cpp
@@ -1,7 +1,4 @@
 // The sub-commands that work in real time, on loopback sockets.
-#include <signal.h>
-
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <cstdio>
 #include <filesystem>
@@ -13,6 +10,7 @@
 #include "lab/gateway_process.hpp"
 #include "lab/live_day.hpp"
 #include "lab/live_fleet.hpp"
+#include "lab/real_time.hpp"
 #include "lab/report.hpp"
 
 namespace fennelridge::lab {
@@ -21,37 +19,6 @@
 namespace fs = std::filesystem;
 using ordered = nlohmann::ordered_json;
 
-std::atomic<bool> interrupted{false};
-
-void heedInterrupts() {
-  ::signal(SIGPIPE, SIG_IGN);
-  for (int signal : {SIGINT, SIGTERM}) ::signal(signal, [](int) { interrupted = true; });
-}
-
-std::string besideThisProgram(const char* name) {
-  std::error_code ignored;
-  return (fs::read_symlink("/proc/self/exe", ignored).parent_path() / name).string();
-}
-
-// A folder of its own under the temporary one, gone with the object.
-class TemporaryFolder {
- public:
-  TemporaryFolder() {
-    std::string name = (fs::temp_directory_path() / "fennelridge-lab-XXXXXX").string();
-    if (!::mkdtemp(name.data())) throw BadInput(name + ": cannot be made");
-    path_ = name;
-  }
-  ~TemporaryFolder() {
-    std::error_code ignored;
-    fs::remove_all(path_, ignored);
-  }
-  TemporaryFolder(const TemporaryFolder&) = delete;
-  std::string path() const { return path_.string(); }
-
- private:
-  fs::path path_;
-};
-
 struct LiveCommand {
   std::string scenario, gateway = besideThisProgram("cairnjunction"), out, report;
   std::vector<std::string> set;
@@ -59,11 +26,6 @@
   bool json = false;
 };
 
-void checkProgram(const std::string& path) {
-  if (::access(path.c_str(), X_OK) != 0)
-    throw BadInput(path + ": is no program; name the gateway with --gateway");
-}
-
 // The day with gateways whose files go with it; Ctrl-C ends it early.
 LiveResult playHere(const Scenario& scenario, const LiveCommand& o, bool showEachSecond, bool demo) {
   heedInterrupts();
@@ -73,7 +35,7 @@
   options.folder = folder.path();
   options.showEachSecond = showEachSecond;
   options.demo = demo;
-  options.stopped = [] { return interrupted.load(); };
+  options.stopped = interrupted;
   return playLive(scenario, o.seed, options);
 }
 
@@ -160,10 +122,15 @@
                           .dump(1));
       std::printf("  GW_CONFIG=%s build/cairnjunction   # clients at %s\n", file.c_str(), listen.c_str());
     }
-    std::printf("Ctrl-C ends it.\n");
+    std::string hosts;
+    for (std::uint32_t h = 0; h < fleet.hosts(); ++h) hosts += text(fleet.endpointOf(h)) + "\n";
+    const std::string file = (fs::absolute(o->folder) / "hosts.txt").string();
+    writeFile(file, hosts);
+    std::printf("The hosts' own addresses are in %s (load @%s).\nCtrl-C ends it.\n", file.c_str(),
+                file.c_str());
     std::fflush(stdout);
     fleet.beginTroubles([](const Step&) {});
-    while (!interrupted) io.run_for(std::chrono::milliseconds(50));
+    while (!interrupted()) io.run_for(std::chrono::milliseconds(50));
   });
 }
 
--- a/src/lab/live_day.cpp
+++ b/src/lab/live_day.cpp
@@ -21,6 +21,7 @@
 #include "lab/gateway_process.hpp"
 #include "lab/live_fleet.hpp"
 #include "lab/referee.hpp"
+#include "lab/request_text.hpp"
 #include "lab/traffic.hpp"
 
 namespace fennelridge::lab {
@@ -196,7 +197,7 @@
   void operatorCall(const std::string& target);
   void handMoves();
   void eachSecond();
-  std::string requestText(const Try& t) const;
+  std::string textOf(const Try& t) const;
 
   const Scenario& s_;
   std::uint64_t seed_;
@@ -262,26 +263,19 @@
   });
 }
 
-std::string LiveDay::requestText(const Try& t) const {
+std::string LiveDay::textOf(const Try& t) const {
   const FirstTry& what = clients_->what(t.wish);
   const ClassSpec& c = s_.classes[what.cls];
-  const bool post = c.effect != "retryable";
-  char text[512];
-  const int length = std::snprintf(
-      text, sizeof text,
-      "%s /%s?w=%.0f&k=%016llx HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %016llx\r\nX-Class: %s\r\n"
-      "Cookie: obj=%016llx\r\nX-Deadline-Ms: %lld\r\n",
-      post ? "POST" : "GET", c.name.c_str(), what.work * 1e6, static_cast<unsigned long long>(what.key),
-      static_cast<unsigned long long>(t.id), c.name.c_str(), static_cast<unsigned long long>(what.key),
-      static_cast<long long>((t.deadline - clock_.now()).count() / 1000000));
-  std::string out(text, static_cast<std::size_t>(std::clamp(length, 0, static_cast<int>(sizeof text) - 1)));
+  RequestLine line{
+      c.name, what.work * 1e6,        what.key, t.id, (t.deadline - clock_.now()).count() / 1000000,
+      "",     c.effect != "retryable"};
   if (c.effect == "dedup") {
-    std::snprintf(text, sizeof text, "Idempotency-Key: %016llx%016llx\r\n",
-                  static_cast<unsigned long long>(what.at.count()),
+    char key[40];
+    std::snprintf(key, sizeof key, "%016llx%016llx", static_cast<unsigned long long>(what.at.count()),
                   static_cast<unsigned long long>(what.key));
-    out += text;
+    line.idempotencyKey = key;
   }
-  return out + (post ? "Content-Length: 4\r\n\r\nsign" : "\r\n");
+  return requestText(line);
 }
 
 void LiveDay::startTry(std::uint32_t wish) {
@@ -326,7 +320,7 @@
   }
   const bool reused = socket->is_open();
   auto exchange = std::make_shared<Exchange>(
-      std::move(socket), requestText(*t),
+      std::move(socket), textOf(*t),
       [this, t] {
         if (t->over) return;
         t->wrote = true;
--- a/src/lab/live_fleet.cpp
+++ b/src/lab/live_fleet.cpp
@@ -638,6 +638,7 @@
 tcp::endpoint LiveFleet::discoveryOf(std::uint32_t gateway) const {
   return impl_->doors.at(gateway).endpoint;
 }
+tcp::endpoint LiveFleet::endpointOf(std::uint32_t host) const { return impl_->hosts.at(host).endpoint; }
 json LiveFleet::list() const {
   std::vector<Listed> entries;
   json out = impl_->listSince(0, entries);
--- a/src/lab/live_fleet.hpp
+++ b/src/lab/live_fleet.hpp
@@ -65,6 +65,7 @@
   ~LiveFleet();
 
   boost::asio::ip::tcp::endpoint discoveryOf(std::uint32_t gateway) const;
+  boost::asio::ip::tcp::endpoint endpointOf(std::uint32_t host) const;
   nlohmann::json list() const;  // whole, in discovery's form
   const Layout& layout() const;
   const Plan& plan() const;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -22,6 +22,9 @@
   addLive(app, result);
   addEmulate(app, result);
   addDemo(app, result);
+  addLoad(app, result);
+  addTrace(app, result);
+  addOverhead(app, result);
   addCheck(app, result);
   addFields(app, result);
   try {
--- /dev/null
+++ b/src/lab/overhead.cpp
@@ -0,0 +1,142 @@
+#include "lab/overhead.hpp"
+
+#include <signal.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+
+#include "lab/gateway_process.hpp"
+#include "lab/live_fleet.hpp"
+
+namespace fennelridge::lab {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto kReadyWithin = std::chrono::seconds(10);
+constexpr auto kReadyAsk = std::chrono::milliseconds(50);
+constexpr double kWarmUpSeconds = 1;
+constexpr double kLateMs = 100;
+
+// The hosts in a thread of their own, so that their work is not the load's.
+class Emulator {
+ public:
+  struct Address {
+    nlohmann::json list;
+    tcp::endpoint discovery;
+    std::vector<tcp::endpoint> hosts;
+  };
+
+  Emulator(const Scenario& scenario, std::uint64_t seed) {
+    std::promise<Address> ready;
+    std::future<Address> address = ready.get_future();
+    thread_ = std::thread([this, &scenario, seed, ready = std::move(ready)]() mutable {
+      asio::io_context io(1);
+      LiveClock clock(io);
+      std::unique_ptr<LiveFleet> fleet;
+      try {
+        fleet = std::make_unique<LiveFleet>(io, clock, scenario, seed, nullptr);
+        Address a{fleet->list(), fleet->discoveryOf(0), {}};
+        for (std::uint32_t h = 0; h < fleet->hosts(); ++h) a.hosts.push_back(fleet->endpointOf(h));
+        ready.set_value(std::move(a));
+      } catch (...) {
+        return ready.set_exception(std::current_exception());
+      }
+      while (!over_) io.run_for(std::chrono::milliseconds(20));
+      lateMs_ = toSeconds(clock.latest()) * 1e3;
+    });
+    try {
+      address_ = address.get();
+    } catch (...) {
+      thread_.join();
+      throw;
+    }
+  }
+  ~Emulator() { stop(); }
+  Emulator(const Emulator&) = delete;
+
+  const Address& address() const { return address_; }
+  double stop() {
+    over_ = true;
+    if (thread_.joinable()) thread_.join();
+    return lateMs_;
+  }
+
+ private:
+  std::atomic<bool> over_{false};
+  double lateMs_ = 0;
+  Address address_;
+  std::thread thread_;
+};
+
+bool isReady(const tcp::endpoint& gateway) {
+  asio::io_context io(1);
+  tcp::socket socket(io);
+  boost::system::error_code ec;
+  socket.connect(gateway, ec);
+  if (ec) return false;
+  asio::write(socket, asio::buffer(std::string("GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")),
+              ec);
+  std::string answer;
+  if (!ec) asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n", ec);
+  return answer.rfind("HTTP/1.1 200", 0) == 0;
+}
+
+}  // namespace
+
+bool OverheadResult::sound() const {
+  const auto whole = [](const LoadResult& r) { return r.keptSchedule() && r.counts.served == r.counts.due; };
+  return whole(straight) && whole(through) && emulatorLateMs <= kLateMs;
+}
+
+OverheadResult measureOverhead(const Scenario& scenario, std::uint64_t seed, const OverheadOptions& o) {
+  Emulator emulator(scenario, seed);
+  const ClassSpec& c = scenario.classes.front();
+  const DueRequest what{{}, c.name, c.workMs.middle() * 1e3, 0};
+  LoadOptions load;
+  load.deadline = fromMillis(c.giveUpMs);
+  load.post = c.effect != "retryable";
+  load.stopped = o.stopped;
+  const auto send = [&](double seconds) {
+    return sendLoad(*staged({{o.rate, seconds}}, what, true, seed), load);
+  };
+
+  OverheadResult result;
+  result.hosts = static_cast<unsigned>(emulator.address().hosts.size());
+  load.to = emulator.address().hosts;
+  send(kWarmUpSeconds);
+  result.straight = send(o.seconds);
+
+  GatewayProcess gateway(o.gateway, {"g0", freeAddress(), freeAddress(), emulator.address().discovery,
+                                     std::filesystem::path(o.folder)});
+  const ochrehill::Settings module = moduleSettings(scenario, 0, scenario.zones.front().name, seed);
+  gateway.start(platformSettings(module, scenario), emulator.address().list, seed);
+  const auto since = std::chrono::steady_clock::now();
+  while (!isReady(gateway.place().listen)) {
+    if (!gateway.running() || std::chrono::steady_clock::now() - since > kReadyWithin)
+      throw std::runtime_error("the gateway was not ready within 10 s; its log: " +
+                               (gateway.place().folder / "log.txt").string());
+    std::this_thread::sleep_for(kReadyAsk);
+  }
+  load.to = {gateway.place().listen};
+  load.connections = o.connections;
+  send(kWarmUpSeconds);
+  const double before = gateway.cpuSeconds();
+  result.through = send(o.seconds);
+  const auto answered =
+      result.through.counts.due - result.through.counts.broken - result.through.counts.unanswered;
+  if (answered > 0)
+    result.gatewayCpuUs = 1e6 * (gateway.cpuSeconds() - before) / static_cast<double>(answered);
+  gateway.kill(SIGTERM);
+  result.emulatorLateMs = emulator.stop();
+  return result;
+}
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/real_time.hpp
@@ -0,0 +1,27 @@
+// What commands that work in real time share: interrupts, the gateway's program, a folder for its files.
+#pragma once
+
+#include <filesystem>
+#include <string>
+
+namespace fennelridge::lab {
+
+void heedInterrupts();  // from now on Ctrl-C and SIGTERM do not end the process; SIGPIPE is ignored
+bool interrupted();     // one of them came
+
+std::string besideThisProgram(const char* name);
+void checkProgram(const std::string& path);  // throws BadInput if it can't be run
+
+// A folder of its own under the temporary one, gone with the object. Throws BadInput if it can't be made.
+class TemporaryFolder {
+ public:
+  TemporaryFolder();
+  ~TemporaryFolder();
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  std::string path() const { return path_.string(); }
+
+ private:
+  std::filesystem::path path_;
+};
+
+}  // namespace fennelridge::lab
