--- /dev/null
+++ b/src/context.hpp
@@ -0,0 +1,46 @@
+// What all parts of the module share: settings, the time of the event, seeded draws, the actions so far.
+#pragma once
+
+#include <random>
+
+#include "ochrehill/ochrehill.hpp"
+#include "state.hpp"
+
+namespace ochrehill {
+
+inline constexpr Duration kSweep = std::chrono::milliseconds(100);  // statistics are renewed so often: a few
+                                                                    // answer times
+inline constexpr double kNormGain = 0.02;  // per answer: a class's usual time, over its last fifty answers
+
+struct Context {
+  Settings set;
+  std::vector<ClassState> classes;  // the settings' and, last, what nobody described
+  std::vector<Action> out;
+  Time now{}, started{};
+
+  Context(Settings s, Time t) : set(std::move(s)), now(t), started(t), engine_(set.seed) {
+    for (const ClassSettings& c : set.classes) classes.push_back({c});
+    classes.push_back({unknownClass(set.classes.front())});
+  }
+
+  // Own draws: std distributions differ between standard libraries.
+  double drawUnit() { return static_cast<double>(engine_() >> 11) * 0x1.0p-53; }
+  std::size_t drawBelow(std::size_t n) {
+    return static_cast<std::size_t>(drawUnit() * static_cast<double>(n));
+  }
+  void emit(ActionKind kind, RequestId id = 0, std::uint32_t attempt = 0, HostId host = kNone,
+            Duration span = {}) {
+    out.push_back({kind, id, attempt, host, span, {}});
+  }
+  void log(std::string text) {
+    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text)});
+    logged_ = now;
+  }
+  bool mayLog() const { return now - logged_ >= std::chrono::seconds(1) || logged_ == Time{}; }
+
+ private:
+  std::mt19937_64 engine_;
+  Time logged_{};
+};
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/attempts.hpp
@@ -0,0 +1,68 @@
+// The life of a request: its first attempt, repeats, second copies, its turn among those of its key, its end.
+// Exactly one of an answer, a refusal and a failure ends it.
+#pragma once
+
+#include <queue>
+
+#include "decide/pick.hpp"
+
+namespace ochrehill {
+
+class Attempts {
+ public:
+  Attempts(Context& context, OpenRequests& requests, Fleet& fleet, Cutoff& cutoff, HostHealth& health,
+           Connections& connections, ColdStart& cold, Pick& pick)
+      : c_(context),
+        requests_(requests),
+        fleet_(fleet),
+        cutoff_(cutoff),
+        health_(health),
+        connections_(connections),
+        cold_(cold),
+        pick_(pick) {}
+
+  void onRequest(const Request& q);
+  void onWhole(RequestId id);
+  void onAnswerStarted(RequestId id, std::uint32_t attempt);
+  void onResult(const AttemptResult& a);
+  void onClientGone(RequestId id);
+  void onWake();
+  void sweep() { turns_.forgetIdle(c_.now); }
+  void passTurns();  // after every event
+  Time nextGuard();  // Time::max(): none
+
+ private:
+  Time useful(Open& r, const Request& q);
+  Time lastUse(const Open& r) const;
+  Duration usualTime(const Open& r) const;
+  bool hopeless(const Open& r, std::size_t ahead) const;
+  bool inTurn(const Open& r) const;
+  void guard(const Open& r, Time at, Due due);
+  void enqueue(Open& r);
+  void dispatch(Open& r);
+  bool send(Open& r);
+  bool resend(Open& r);
+  void hold(const Open& r, Host& h);
+  void finish(Open& r);
+  void refuse(const Open& r);
+  void end(Open& r);
+  void cancelOut(Open& r, std::uint32_t except = kNone);
+  void release(Open& r);
+
+  Context& c_;
+  OpenRequests& requests_;
+  Fleet& fleet_;
+  Cutoff& cutoff_;
+  HostHealth& health_;
+  Connections& connections_;
+  ColdStart& cold_;
+  Pick& pick_;
+  std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards_;
+  Turns turns_;
+  std::vector<std::uint64_t> turnsDue_;  // keys whose turn may have passed on in this event
+  double retryTokens_ = kRetrySaved;
+  static constexpr double kRetryShare = 0.3;  // resends per new request
+  static constexpr double kRetrySaved = 3;    // resends that may be saved up, beyond those of a second
+};
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/connections.hpp
@@ -0,0 +1,30 @@
+// The connections to hosts, as far as decisions depend on them: whether one is open and free, whether it lay
+// idle for so long that it may be lost, and which to give back.
+#pragma once
+
+#include "decide/fleet.hpp"
+
+namespace ochrehill {
+
+class Connections {
+ public:
+  Connections(Context& context, Fleet& fleet) : c_(context), fleet_(fleet) {}
+
+  bool mayUse(const Host& h) const;  // an open one has room, or a new one may be opened
+  // An attempt goes out now: counts the connection it takes, closes those that are likely lost.
+  void take(Host& h, HostId id, Try& attempt);
+  void note(const Try& attempt, Outcome o);  // how it fared
+  void sweep();
+
+ private:
+  static constexpr std::size_t kSteps = 8;
+  bool free(const Host& h) const;
+  std::size_t idleStep(const Host& h) const;
+  bool stale(std::size_t step) const;
+
+  Context& c_;
+  Fleet& fleet_;
+  IdleLoss<kSteps> lost_;  // share of attempts lost, by idle time of the connection
+};
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/cutoff.cpp
@@ -0,0 +1,142 @@
+#include "decide/cutoff.hpp"
+
+#include <cmath>
+
+namespace ochrehill {
+namespace {
+
+constexpr double kFastGain = 0.2;    // per sweep: rates over about half a second
+constexpr double kSteadyRate = 80;   // requests a second that make half a second steady enough
+constexpr double kSlowGain = 0.008;  // per sweep: the traffic mix is remembered about ten seconds
+// In-flight overload. By Little's law the mean time in flight is in-flight / rate, so the pool carries
+// `rate x aim` at most if answers are to be in time.
+constexpr double kMaxOfAim = 0.45;          // in-flight maximum: mean time at this share of the aim
+constexpr double kInflightThreshold = 0.5;  // share of that maximum below which nothing is cut
+constexpr double kHeldGain = 0.05;          // per arrival: in-flight over the last twenty arrivals
+constexpr double kHeldSweep = 0.5;          // per sweep
+// Danger: what one of many gateways holds is a small count that swings by its square root, and the cubic
+// makes refusals of the swing.
+constexpr double kThinRange = 0.5;   // full cut later than with much evidence,
+constexpr double kThinEarly = 0.1;   // its beginning earlier
+constexpr double kFirstPerHost = 6;  // maximum assumed for a host before anything was measured
+// Danger: after a burst that crowds the hosts for long, nearly all is refused, hosts stand idle, and a
+// maximum that follows the few answers never grows back. So much may be held a host, by all gateways: a few
+// cores' work.
+constexpr double kFloorPerHost = 4;
+// Danger: hosts once driven over stay slow long after, and "full" is the first that one hears of it.
+constexpr double kFullEase = 4;        // times the share of "full" answers is taken off the maximum,
+constexpr double kFullEaseMost = 0.5;  // up to a half, and forgotten in half a second
+// Danger: when all hosts slow down together, a maximum that follows the sinking rate idles them. What a host
+// held while nothing was refused stays allowed.
+constexpr double kCalmFade = 0.001;  // per sweep: forgotten in some minutes
+// Error overload: share of failed attempts. A few per cent is everyday noise.
+constexpr double kErrorThreshold = 0.1;
+constexpr double kErrorMax = 0.7;
+constexpr double kErrorPrior = 10;  // attempts assumed good, so that a handful of samples proves nothing
+
+}  // namespace
+
+Cutoff::Cutoff(Context& context, const Fleet& fleet)
+    : c_(context),
+      fleet_(fleet),
+      quotas_(context.set, context.now),
+      askedRate_(kSteadyRate),
+      outcomeSeen_(kErrorPrior) {
+  for (const ClassSettings& c : c_.set.classes)
+    meanAim_ += toSeconds(c.aim) / static_cast<double>(c_.set.classes.size());
+}
+
+// Worth of what the request can still earn, by request or by unit of work as the worth is counted.
+double Cutoff::worth(const Open& r, std::uint32_t tenant) {
+  const ClassSettings& c = c_.classes[r.cls].set;
+  double worth = c.worth;
+  if (c_.now >= r.aimAt) worth *= c.lateShare;
+  if (!quotas_.take(tenant, c_.now)) worth *= c_.set.overShareWorth;
+  return worth;
+}
+
+// A seeded draw spreads each level over its own band, so equal worth shares the loss and higher worth is
+// never cut first.
+double Cutoff::score(const Open& r, std::uint32_t tenant) {
+  const auto [below, same] = levels_.note(worth(r, tenant));
+  return 1 + 99 * (below + c_.drawUnit() * same);
+}
+
+void Cutoff::arrived(const Open& r) {
+  const ClassState& c = c_.classes[r.cls];
+  // Where late answers still earn, the time that counts reaches past the aim by that share.
+  const Duration late = scaled(std::min(c.usualLeft - c.set.aim, c.set.aim), c.set.lateShare);
+  meanAim_ += kNormGain * (toSeconds(c.set.aim + late) - meanAim_);
+  if (c.norm > 0) meanWork_ += (meanWork_ > 0 ? kNormGain : 1.0) * (c.norm * r.cost - meanWork_);
+  asked_ += 1;
+  smoothHeld_ += (held() - smoothHeld_) * kHeldGain * std::sqrt(evidence());
+  renew();
+}
+
+// Danger: counted one by one, heavy answers make a gateway that is cut down to a heavy class think the pool
+// slow and starve, while others take its share. By its usual time an answer weighs as its work.
+void Cutoff::answered(const Open& r) {
+  const ClassState& c = c_.classes[r.cls];
+  const double weight = meanWork_ > 0 ? std::clamp(c.norm * r.cost / meanWork_, 0.1, 10.0) : 1;
+  inTime_ += weight * (c_.now <= r.aimAt ? 1 : c.set.lateShare);
+}
+
+// Danger: a gateway that sees a trickle learns noise from half a second. Gain per sweep: over half a
+// second, and at least over some twenty requests.
+double Cutoff::fastGain() const { return kFastGain * evidence(); }
+double Cutoff::evidence() const { return std::clamp(askedRate_ / kSteadyRate, 0.05, 1.0); }
+
+double Cutoff::inflightMax() const {
+  const double count = static_cast<double>(std::max<std::size_t>(fleet_.listed().size(), 1));
+  const double ease = 1 - std::min(kFullEase * fullSeen_ / outcomeSeen_, kFullEaseMost);
+  // Before anything was measured (own start in an overload) and after a lull, per-host guesses stand in.
+  const double first = kFirstPerHost / c_.set.groupSize, floor = kFloorPerHost / c_.set.groupSize;
+  const double least = c_.now - c_.started < 10 * kSweep ? first : std::max(floor, calmHeld_);
+  return ease * std::max(fastRate_ * meanAim_ * kMaxOfAim, least * count);
+}
+
+double Cutoff::held() const {
+  double held = 0;
+  for (HostId id : fleet_.listed())
+    if (!sick(fleet_.at(id))) held += fleet_.at(id).inflight;  // one bad host must not lift the pool's cut
+  return held;
+}
+
+void Cutoff::renew() {
+  const double thin = 1 - evidence();
+  const double load = (smoothHeld_ / inflightMax() - kInflightThreshold + kThinEarly * thin) /
+                      (1 - kInflightThreshold + kThinRange * thin);
+  const double x = std::clamp(std::max(load, errorOverload_), 0.0, 1.0);
+  cut_ = 100 * x * x * x;
+}
+
+void Cutoff::sweep() {
+  fastRate_ += fastGain() * (inTime_ / toSeconds(kSweep) - fastRate_);
+  ++sweeps_;
+  askedRate_ += std::max(kSlowGain, 1 / sweeps_) * (asked_ / toSeconds(kSweep) - askedRate_);
+  inTime_ = asked_ = 0;
+  calmHeld_ *= 1 - kCalmFade;
+  if (cut_ <= 1 && !fleet_.listed().empty()) calmHeld_ = std::max(calmHeld_, fleet_.perListed(smoothHeld_));
+  fullSeen_ *= 1 - kFastGain;
+  outcomeSeen_ += kFastGain * (kErrorPrior - outcomeSeen_);
+  double outcomes = kErrorPrior, errors = 0, sum = 0, seen = 0;
+  for (HostId id : fleet_.listed())
+    if (const Host& h = fleet_.at(id); !sick(h)) outcomes += h.outcomes, errors += h.errors;
+  errorOverload_ = (errors / outcomes - kErrorThreshold) / (kErrorMax - kErrorThreshold);
+  for (const ClassState& c : c_.classes)
+    if (c.norm > 0) sum += c.norm, seen += 1;
+  norm_ = seen > 0 ? sum / seen : 0;
+  levels_.fade(kSlowGain);
+  // Danger: with few arrivals a past burst would linger.
+  smoothHeld_ += (held() - smoothHeld_) * kHeldSweep * evidence() * evidence();
+  renew();
+  const int step = static_cast<int>(cut_ / 20);
+  if (step != loggedCut_ && c_.mayLog()) {
+    loggedCut_ = step;
+    c_.log("cutoff " + std::to_string(static_cast<int>(cut_)) + " inflight max " +
+           std::to_string(static_cast<int>(inflightMax())) + " error overload " +
+           std::to_string(errorOverload_));
+  }
+}
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/cutoff.hpp
@@ -0,0 +1,50 @@
+// What is turned away: the score of a request, 1 to 100 by worth, and the cutoff below which it is refused.
+// The cutoff is 100 x^3, where x is the larger of the error overload and the in-flight overload of the pool.
+#pragma once
+
+#include "decide/fleet.hpp"
+
+namespace ochrehill {
+
+class Cutoff {
+ public:
+  Cutoff(Context& context, const Fleet& fleet);
+
+  // Rank within the recent traffic: a cutoff of c refuses about c per cent.
+  double score(const Open& r, std::uint32_t tenant);
+  void arrived(const Open& r);   // after its score: counts it and renews the cutoff
+  void answered(const Open& r);  // served, at this moment
+  void full(double weight) {
+    fullSeen_ += weight;
+  }                                      // an attempt was turned away by a host that is trusted so far
+  void outcome() { outcomeSeen_ += 1; }  // of an attempt, whatever it was
+  void sweep();
+
+  double cut() const { return cut_; }
+  double held() const;                             // by all hosts that are well
+  double usual() const { return norm_; }           // seconds an answer takes, over all classes; 0: not known
+  double askedRate() const { return askedRate_; }  // requests a second
+  // 0 to 1: how much half a second of our traffic tells. Gains per sweep shrink with it.
+  double evidence() const;
+  double fastGain() const;
+
+ private:
+  double inflightMax() const;
+  double worth(const Open& r, std::uint32_t tenant);
+  void renew();
+
+  Context& c_;
+  const Fleet& fleet_;
+  Levels levels_;
+  Quotas quotas_;
+  double smoothHeld_ = 0, cut_ = 0, errorOverload_ = 0;
+  double inTime_ = 0, fastRate_ = 0;           // answers within the aim: since the sweep; a second
+  double asked_ = 0, askedRate_, sweeps_ = 0;  // requests: since the sweep; a second
+  double fullSeen_ = 0, outcomeSeen_;          // decayed counts
+  double calmHeld_ = 0;                        // in-flight a host while nothing is refused
+  double meanAim_ = 0, meanWork_ = 0;          // seconds over the recent arrivals: aim, usual time
+  double norm_ = 0;
+  int loggedCut_ = 0;
+};
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/fleet.cpp
@@ -0,0 +1,171 @@
+#include "decide/fleet.hpp"
+
+#include <cmath>
+
+namespace ochrehill {
+namespace {
+
+// Danger: hosts accept so many connections, and each gateway of a large bank opening one to every host shuts
+// the others out. A gateway keeps to this many hosts, and to this many times its part of the pool.
+constexpr double kWidthLeast = 6;
+constexpr double kWidthParts = 4;
+constexpr std::uint32_t kRound = 16;  // gateways dealt out over the pool at a time
+constexpr double kCrowded = 1.5;      // times the median held: too much
+constexpr double kShareGain = 0.5;    // power of the excess taken off a host's share at each report
+constexpr double kShareBack = 1.1;    // and its way back
+constexpr double kShareLeast = 0.05;  // a trickle, or it would never be known better
+
+}  // namespace
+
+void Fleet::onHosts(ListKind kind, const std::vector<HostEntry>& entries) {
+  if (kind != ListKind::update)
+    for (Host& h : hosts_) h.entry.phase = Phase::out;  // what a whole list leaves out is gone
+  for (HostEntry e : entries) {
+    e.upSince = startOf(e);
+    const auto next = free_.empty() ? static_cast<HostId>(hosts_.size()) : free_.back();
+    auto [it, fresh] = ids_.emplace(e.address, next);
+    if (fresh) {
+      if (free_.empty()) hosts_.emplace_back();
+      else free_.pop_back();
+      hosts_[next].hash = hashText(e.address);
+    }
+    Host& h = hosts_[it->second];
+    const bool restarted = fresh || e.upSince != h.entry.upSince;
+    h.entry = e;
+    h.local = e.zone == c_.set.zone;
+    h.open.clear();
+    for (const ClassState& c : c_.classes)
+      h.open.push_back(names(c.set.zones, e.zone) && names(c.set.kinds, e.kind));
+    h.kind = kindNamed(kinds_, e.kind);
+    kindOf(h).weight = std::max(kindOf(h).weight, e.weight);
+    if (c_.set.liveWeights && kind != ListKind::restored)
+      crowded(h, kindOf(h).weight / std::max(e.weight, 0.001));
+    if (restarted) renew(h);
+  }
+  relist();
+  for (HostId id = 0; id < hosts_.size(); ++id) forgetGone(id);
+}
+
+void Fleet::onTakenOut(const std::string& address, bool out) {
+  if (!takenOut_.set(c_.now, address, out)) return;
+  const HostId id = find(address);
+  if (id == kNone) return;
+  Host& h = hosts_[id];
+  c_.emit(ActionKind::close, 0, 0, id);
+  h.entry.upSince = startOf(h.entry);
+  h.restUntil = h.dialAfter = Time{};
+  renew(h);
+  relist();
+}
+
+void Fleet::sweep() {
+  std::vector<double> crowds;
+  for (HostId id : listed_) crowds.push_back(hosts_[id].crowd);
+  medianCrowd_ = quantile(crowds, 0.5, 1);
+  takenOut_.forgetBackBefore(c_.now - c_.set.coldTime);
+}
+
+// Danger: hosts are replaced all day, and each would be kept for good. But its zone binds the repeats of
+// the requests that it had, so its id stays with it till they are over.
+void Fleet::forgetGone(HostId id) {
+  Host& h = hosts_[id];
+  if (h.entry.phase != Phase::out || h.named > 0 || h.entry.address.empty()) return;
+  ids_.erase(h.entry.address);
+  h = Host{};
+  h.entry.phase = Phase::out;
+  free_.push_back(id);
+  c_.emit(ActionKind::forget, 0, 0, id);
+}
+
+HostId Fleet::find(std::string_view address) const {
+  const auto it = ids_.find(std::string(address));
+  return it == ids_.end() ? kNone : it->second;
+}
+
+double Fleet::warmth(const Host& h) const {
+  if (!isCold(h)) return 1;
+  const double passed = toSeconds(c_.now - h.entry.upSince) / toSeconds(c_.set.coldTime);
+  return c_.set.coldShare + (1 - c_.set.coldShare) * passed;
+}
+
+// Live weights tell what a host holds of all gateways together, some time ago. Danger: a host that all pass
+// over at once empties and looks best next time; so each word moves its share by a little.
+void Fleet::crowded(Host& h, double crowd) {
+  h.crowd = crowd;
+  const double over = crowd / (kCrowded * medianCrowd_);
+  h.share = std::clamp(h.share * (over > 1 ? std::pow(over, -kShareGain) : kShareBack), kShareLeast, 1.0);
+}
+
+void Fleet::renew(Host& h) {  // a new process: what was learned of the old one is void
+  h.health = Health::good;
+  h.ejections = 0;
+  h.fails = 0;
+  h.classFails.assign(c_.classes.size(), 0);
+  h.fulls = 0;
+  h.silent = false;
+  h.lines = h.dialFails = 0;
+  h.share = h.crowd = 1;
+  h.pace = kindOf(h).pace / std::sqrt(warmth(h));
+  // Danger: a first request from every one of many gateways at once is a burst; a drawn phase spreads them.
+  h.coldTokens = c_.drawUnit();
+  h.coldAt = c_.now;
+}
+
+// Danger: the list may not tell yet that a host was restarted while it was out; taken for warm it is pushed
+// over. A host that was not restarted is spared for a while for nothing.
+Time Fleet::startOf(const HostEntry& e) const {
+  const TakenOut* was = takenOut_.find(e.address);
+  return !was || was->out || e.upSince > was->since ? e.upSince : was->back;
+}
+
+void Fleet::relist() {
+  listed_.clear();
+  for (HostId id = 0; id < hosts_.size(); ++id)
+    if (hosts_[id].entry.phase == Phase::in && !takenOut_.isOut(hosts_[id].entry.address))
+      listed_.push_back(id);
+  std::sort(listed_.begin(), listed_.end(),
+            [&](HostId a, HostId b) { return hosts_[a].entry.address < hosts_[b].entry.address; });
+  reorder();
+}
+
+// Own hosts first. Hosts lie on a ring, in an order of its own for every round of gateways, and the
+// gateways of a round start evenly around it: hosts that come or go move only their neighbours. Keys are
+// kept warm by all.
+void Fleet::reorder() {
+  const double count = static_cast<double>(listed_.size());
+  const double own = c_.set.warmKeys ? count : kWidthLeast + kWidthParts * count / c_.set.groupSize;
+  width_ = static_cast<std::size_t>(std::min(count, own));
+  const std::uint64_t salt = mix(c_.set.number / kRound);
+  const std::uint64_t start = c_.set.number % kRound * (UINT64_MAX / kRound);
+  const auto after = [&](HostId id) { return mix(hosts_[id].hash ^ salt) - start; };
+  order_ = listed_;
+  std::sort(order_.begin(), order_.end(), [&](HostId a, HostId b) { return after(a) < after(b); });
+}
+
+void Subscription::onHosts(ListKind kind) {
+  if (kind == ListKind::unavailable) {
+    failures_ = std::min(failures_ + 1, 4);
+    asking_ = false;
+    Duration wait = std::chrono::milliseconds(500) * (1 << failures_);
+    // Danger: a limit set after the jitter makes all gateways come back in one moment.
+    if (c_.set.askWithin > Duration{}) wait = std::min(wait, c_.set.askWithin / 5);
+    again_ = c_.now + scaled(wait, 0.5 + c_.drawUnit());
+  } else if (kind == ListKind::restored) {
+    if (c_.set.askDiscovery) again_ = c_.now;  // it may be stale: ask at once
+  } else {
+    failures_ = 0;
+    answered_ = true;
+  }
+}
+
+void Subscription::ask() {
+  // Danger: a call whose answer is lost would leave the gateway silent towards discovery for good.
+  const bool lost = !answered_ && c_.set.askWithin > Duration{} && c_.now - askedAt_ > c_.set.askWithin / 2;
+  if (!c_.set.askDiscovery || (asking_ && !lost) || c_.now < again_) return;
+  c_.emit(ActionKind::subscribe);
+  asking_ = true;  // until it fails
+  answered_ = false;
+  askedAt_ = c_.now;
+}
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/fleet.hpp
@@ -0,0 +1,65 @@
+// The hosts that lists have named: which of them may be used, and which are this gateway's own.
+#pragma once
+
+#include "context.hpp"
+
+namespace ochrehill {
+
+class Fleet {
+ public:
+  explicit Fleet(Context& context) : c_(context) {}
+
+  void onHosts(ListKind kind, const std::vector<HostEntry>& entries);  // any kind but `unavailable`
+  void onTakenOut(const std::string& address, bool out);
+  void sweep();
+  void forgetGone(HostId id);  // if no list and no open request names it any more
+
+  Host& at(HostId id) { return hosts_[id]; }
+  const Host& at(HostId id) const { return hosts_[id]; }
+  HostId find(std::string_view address) const;
+  Kind& kindOf(const Host& h) { return kinds_[h.kind]; }
+  const Kind& kindOf(const Host& h) const { return kinds_[h.kind]; }
+  std::vector<Kind>& kinds() { return kinds_; }
+  const std::vector<HostId>& listed() const { return listed_; }  // may be used; in order of address
+  const std::vector<HostId>& order() const { return order_; }    // the same hosts, this gateway's own first
+  std::size_t width() const { return width_; }  // so many of them are in use while one of them is idle
+  double perListed(double sum) const {
+    return sum / static_cast<double>(std::max<std::size_t>(listed_.size(), 1));
+  }
+
+  bool isCold(const Host& h) const {
+    return h.entry.upSince > Time{} && c_.now - h.entry.upSince < c_.set.coldTime;
+  }
+  double warmth(const Host& h) const;  // part of its capacity that it has now, 0 to 1
+
+ private:
+  void crowded(Host& h, double crowd);
+  void renew(Host& h);
+  Time startOf(const HostEntry& e) const;
+  void relist();
+  void reorder();
+
+  Context& c_;
+  std::vector<Host> hosts_;
+  std::unordered_map<std::string, HostId> ids_;
+  std::vector<HostId> free_, listed_, order_;
+  std::size_t width_ = 0;
+  std::vector<Kind> kinds_;
+  TakenOutHosts takenOut_;
+  double medianCrowd_ = 1;
+};
+
+class Subscription {  // to discovery: when it is asked for the list
+ public:
+  explicit Subscription(Context& context) : c_(context) {}
+  void onHosts(ListKind kind);
+  void ask();
+
+ private:
+  Context& c_;
+  bool asking_ = false, answered_ = false;
+  Time askedAt_{}, again_{};
+  int failures_ = 0;
+};
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/health.cpp
@@ -0,0 +1,144 @@
+#include "decide/health.hpp"
+
+namespace ochrehill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kPaceFade = 0.05;   // per sweep without requests: an old pace fades in two seconds at least
+constexpr double kPaceGain = 0.1;    // per answer: a host's pace, over its last ten answers
+constexpr double kFailGain = 0.12;   // per outcome: five failures on end make one half
+constexpr double kFailEject = 0.45;  // failure share that ejects,
+constexpr double kFailPeers = 2.5;   // if it is also this many times that of the better quarter of the pool
+// Danger: a host may fail or swallow one class and serve the others; by the mean of all it looks well.
+constexpr double kClassGain = 0.25;   // per outcome of the class at the host: three on end make a half
+constexpr double kClassPeers = 0.02;  // per outcome of the class anywhere: what its peers do, over fifty
+constexpr double kClassOver = 1.5;    // times what its peers fail is noise in a trouble of all hosts
+constexpr double kClassLeast = 0.03;  // of its draws for the class: a trickle tells when it is well again
+constexpr double kEjectShare = 0.5;   // of the pool at most, so a pool-wide trouble never empties it
+constexpr Duration kEjectFirst = seconds(1);  // doubled each time,
+constexpr int kEjectDoublings = 3;            // up to so often
+constexpr double kSilentNorms = 4;            // silent: nothing heard for so many times the usual time,
+constexpr Duration kSilentLeast = milliseconds(150);  // and at least for this long (short pauses are normal)
+constexpr int kFullRow = 3;                           // "full" so often on end: not a short peak, it rests,
+constexpr Duration kFullRest = milliseconds(100);     // a few unloaded answer times
+constexpr Duration kConnectRest = seconds(1);  // none to be had: down or at its cap; doubled as ejections are
+
+}  // namespace
+
+void HostHealth::judge(Host& h, const Open& r, const AttemptResult& a) {
+  ClassState& c = c_.classes[r.cls];
+  const double taken = std::max(toSeconds(a.taken), 1e-6);  // zero would make every ratio meaningless
+  bool failed = false;
+  switch (a.outcome) {
+    case Outcome::served: {
+      h.heard = c_.now;
+      h.fulls = 0;
+      h.served += 1;
+      const double usual = taken / r.cost;
+      if (c.norm <= 0) c.norm = usual;
+      const double sample = std::min(taken / (c.norm * r.cost), 20.0);
+      h.pace += kPaceGain * (sample - h.pace);
+      Kind& kind = fleet_.kindOf(h);
+      kind.pace += kNormGain * (sample - kind.pace);
+      c.norm += kNormGain * (usual - c.norm);
+      cutoff_.answered(r);
+      break;
+    }
+    case Outcome::full:  // Danger: one that stays full, or drains unannounced, holds little: it looks idle.
+      h.heard = c_.now;
+      h.errors += 1;
+      if (h.fulls < kFullRow) cutoff_.full(trust(h, r.cls));  // beyond that only this host is in trouble
+      if (++h.fulls >= kFullRow) h.restUntil = c_.now + scaled(kFullRest, 0.5 + c_.drawUnit());
+      break;
+    case Outcome::timeout:
+      if (c.norm > 0 && taken > c.norm * r.cost)
+        h.pace += kPaceGain * (std::min(taken / (c.norm * r.cost), 20.0) - h.pace);
+      failed = true;
+      break;
+    case Outcome::error:
+      h.heard = c_.now;
+      failed = true;
+      break;
+    case Outcome::connectFailed:
+      // Danger: open connections outlive the trouble of new ones; left unused they are closed or lost.
+      h.dialAfter = c_.now + scaled(kConnectRest * (1 << h.dialFails), 0.5 + c_.drawUnit());
+      h.dialFails = std::min(h.dialFails + 1, kEjectDoublings);
+      [[fallthrough]];
+    case Outcome::reset:
+      failed = true;
+      h.lines = std::max(h.lines - 1, 0);
+      break;
+    case Outcome::rejected: h.heard = c_.now; return;  // the request's fault, anywhere
+    case Outcome::cancelled:
+    case Outcome::moot: return;
+  }
+  h.outcomes += 1;
+  cutoff_.outcome();
+  if (failed) h.errors += 1;
+  if (a.outcome != Outcome::full) h.fails += kFailGain * ((failed ? 1.0 : 0.0) - h.fails);
+  if (a.outcome != Outcome::connectFailed) {
+    const double lost = failed || a.outcome == Outcome::full ? 1 : 0;
+    h.classFails[r.cls] += kClassGain * (lost - h.classFails[r.cls]);
+    c.fails += kClassPeers * (lost - c.fails);
+  }
+  if (h.health == Health::trial && a.outcome != Outcome::full) {
+    if (failed) return eject(h, "trial failed");
+    h.health = Health::good;
+    h.fails = 0;
+    if (c_.mayLog()) c_.log("host returned " + h.entry.address);
+  }
+}
+
+double HostHealth::trust(const Host& h, std::uint32_t cls) const {
+  const double well = 1 - std::max(h.classFails[cls] - kClassOver * c_.classes[cls].fails, 0.0);
+  return std::max(well * well * well, kClassLeast);
+}
+
+void HostHealth::eject(Host& h, const char* why) {
+  h.health = Health::ejected;
+  h.until = c_.now + scaled(kEjectFirst * (1 << h.ejections), 0.75 + 0.5 * c_.drawUnit());
+  h.ejections = std::min(h.ejections + 1, kEjectDoublings);
+  if (c_.mayLog()) c_.log("host ejected " + h.entry.address + " (" + why + ")");
+}
+
+void HostHealth::sweep() {
+  std::vector<double> paces, fails;
+  std::size_t away = 0;
+  for (HostId id : fleet_.listed()) {
+    Host& h = fleet_.at(id);
+    // Danger: a pace learned in trouble keeps requests away, and without them it would never change.
+    if (h.served <= 0 && h.inflight == 0)
+      h.pace += kPaceFade * cutoff_.evidence() * (fleet_.kindOf(h).pace - h.pace);
+    h.outcomes *= 1 - cutoff_.fastGain();
+    h.errors *= 1 - cutoff_.fastGain();
+    if (h.health == Health::ejected && c_.now >= h.until)
+      h.health = Health::trial;  // back by a trickle of real requests
+    if (h.health != Health::good) ++away;
+    paces.push_back(h.pace);
+    fails.push_back(h.fails);
+    // Danger: a paused or lost host gathers requests until they time out.
+    while (!h.sent.empty() && !requests_.outTry(h.sent.front(), id)) h.sent.pop_front();
+    const Duration limit =
+        std::max(kSilentLeast, scaled(seconds(1), kSilentNorms * cutoff_.usual() * std::max(1.0, h.pace)));
+    h.silent =
+        !h.sent.empty() && c_.now - std::max(h.heard, requests_.outTry(h.sent.front(), id)->at) > limit;
+  }
+  medianPace_ = quantile(paces, 0.5, 1);
+  const double peerFails = quantile(fails, 0.25, 0);  // a quarter of the peers well: the others are outliers
+  for (HostId id : fleet_.listed()) {  // judged against the peers, so that a pool-wide trouble ejects nobody
+    Host& h = fleet_.at(id);
+    if (h.health != Health::good ||
+        static_cast<double>(away + 1) > kEjectShare * static_cast<double>(fleet_.listed().size()))
+      continue;
+    if (h.fails > std::max(kFailEject, kFailPeers * peerFails)) {
+      eject(h, "failing");
+      ++away;
+    } else if (h.ejections > 0 && h.fails < 0.05 && c_.now > h.until + 4 * kEjectFirst) {
+      h.ejections = 0;
+    }
+  }
+}
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/health.hpp
@@ -0,0 +1,31 @@
+// How well each host does, from the outcomes of our own attempts: its pace, what it fails, whether it is
+// ejected, on trial, resting or silent.
+#pragma once
+
+#include "decide/cutoff.hpp"
+
+namespace ochrehill {
+
+class HostHealth {
+ public:
+  HostHealth(Context& context, Fleet& fleet, Cutoff& cutoff, const OpenRequests& requests)
+      : c_(context), fleet_(fleet), cutoff_(cutoff), requests_(requests) {}
+
+  void judge(Host& h, const Open& r, const AttemptResult& a);
+  void sweep();
+
+  // Part of its draws that a host keeps for a class: less as it fails that class more than its peers do.
+  double trust(const Host& h, std::uint32_t cls) const;
+  double medianPace() const { return medianPace_; }
+
+ private:
+  void eject(Host& h, const char* why);
+
+  Context& c_;
+  Fleet& fleet_;
+  Cutoff& cutoff_;
+  const OpenRequests& requests_;
+  double medianPace_ = 1;
+};
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/pick.cpp
@@ -0,0 +1,98 @@
+#include "decide/pick.hpp"
+
+namespace ochrehill {
+namespace {
+
+// Danger: with more requests than hosts each holds several, a fixed limit of one counts none as idle, and two
+// blind draws decide: some hosts queue while cores of others stand free. So few is what lies under the mean,
+// whatever made it uneven: slow answers, a host back from a pause, cancels. It could do harm where a host
+// holds little because it fails at once (trust and ejection are to keep that one out), and it means nothing
+// where each of many gateways holds less than one a host: there it is one, as before.
+constexpr double kFewOfMean = 0.75;
+constexpr double kLocalLean = 2;            // own zone in the draw: yields to a host 1.4 times as fast
+constexpr std::size_t kWarmCandidates = 3;  // hosts that share the warmth of one key at least,
+constexpr std::uint32_t kHerd = 8;          // and with so many gateways they share its requests too
+
+}  // namespace
+
+bool Pick::idle(const Host& h) const {  // holds few of ours; a fast host may hold more
+  return h.inflight < few_ * health_.medianPace() / std::max(h.pace, 0.05);
+}
+
+bool Pick::allowed(const Open& r, const Host& h) const {  // the rules on placement and repeats
+  const ClassSettings& c = c_.classes[r.cls].set;
+  if (!h.open[r.cls]) return false;
+  for (std::uint32_t i = 0; i < r.count; ++i) {
+    if (!r.tries[i].mayHaveRun || c.effect == Effect::retryable) continue;
+    if (c.effect == Effect::fragile) return false;
+    const HostEntry& first = fleet_.at(r.tries[i].host).entry;
+    if (c.group != Group::all && first.zone != h.entry.zone) return false;
+    if (c.group == Group::cell && first.cell != h.entry.cell) return false;
+    if (c_.now + 2 * c_.set.step > r.tries[i].at + c.window) return false;
+  }
+  return true;
+}
+
+void Pick::gather(const Open& r, bool relaxed) {
+  ready_.clear();
+  bool found = false;  // an idle one
+  for (HostId id : fleet_.order()) {
+    if (found && ready_.size() >= fleet_.width()) break;
+    Host& h = fleet_.at(id);
+    if (!relaxed) {
+      if (c_.now < h.restUntil || !connections_.mayUse(h) || h.silent || h.health == Health::ejected ||
+          (h.health == Health::trial && h.inflight > 0))
+        continue;
+      bool tried = false;
+      for (std::uint32_t i = 0; i < r.count; ++i) tried |= r.tries[i].host == id;
+      if (tried) continue;
+    }
+    if (!allowed(r, h) || !cold_.mayTake(h)) continue;
+    ready_.push_back(id);
+    found |= idle(h);
+  }
+}
+
+HostId Pick::host(const Open& r) {
+  few_ = std::max(kFewOfMean * fleet_.perListed(cutoff_.held()), 1.0);
+  gather(r, false);
+  if (ready_.empty()) gather(r, true);  // no healthy host: any that the rules allow beats none
+  if (ready_.empty()) return kNone;
+  // Danger: among a hundred hosts a thin gateway draws the cold one it could send to once in half a minute;
+  // it would stay cold. Its budget is small and is spent first.
+  for (HostId id : ready_)
+    if (const Host& h = fleet_.at(id);
+        r.count == 0 && fleet_.isCold(h) && idle(h) && c_.drawUnit() > cutoff_.evidence())
+      return id;
+  if (c_.set.warmKeys && r.hasKey) {
+    // Warm keys: the first hosts in the key's rendezvous order, the same at all gateways.
+    const std::size_t most = std::min(kWarmCandidates, ready_.size());
+    const auto rank = [&](HostId id) { return mix(fleet_.at(id).hash ^ r.key); };
+    std::partial_sort(ready_.begin(), ready_.begin() + static_cast<std::ptrdiff_t>(most), ready_.end(),
+                      [&](HostId a, HostId b) { return rank(a) > rank(b); });
+    ready_.resize(most);
+    // Danger: to each of many gateways every host looks idle, and all send a key to the same one.
+    for (std::size_t i = 0; i < most && c_.set.groupSize < kHerd; ++i) {
+      const Host& h = fleet_.at(ready_[i]);
+      if (idle(h) && c_.drawUnit() < h.share) return ready_[i];
+    }
+  }
+  // Danger: beside many gateways our own in-flight says little, every host looks idle, and the own zone is
+  // overrun; so the draw leans towards hosts that answer fast, and towards the own zone only lightly.
+  double sum = 0;
+  HostId chosen = kNone;
+  for (HostId id : ready_) {
+    const Host& h = fleet_.at(id);
+    if (!idle(h)) continue;
+    const double weight =
+        (h.local ? kLocalLean : 1) * h.share * health_.trust(h, r.cls) / std::max(h.pace * h.pace, 0.01);
+    sum += weight;
+    if (c_.drawUnit() * sum < weight) chosen = id;
+  }
+  if (chosen != kNone) return chosen;
+  const HostId a = ready_[c_.drawBelow(ready_.size())], b = ready_[c_.drawBelow(ready_.size())];
+  const Host &first = fleet_.at(a), &second = fleet_.at(b);
+  return load(first) * health_.trust(second, r.cls) <= load(second) * health_.trust(first, r.cls) ? a : b;
+}
+
+}  // namespace ochrehill
--- /dev/null
+++ b/src/decide/pick.hpp
@@ -0,0 +1,40 @@
+// Which host takes the next attempt: a random ready one that holds few of our requests, else the lighter of
+// two draws; with warm keys, the first hosts in the key's order.
+#pragma once
+
+#include "decide/cold_start.hpp"
+#include "decide/connections.hpp"
+#include "decide/health.hpp"
+
+namespace ochrehill {
+
+class Pick {
+ public:
+  Pick(Context& context, Fleet& fleet, const Cutoff& cutoff, const HostHealth& health,
+       const Connections& connections, ColdStart& cold)
+      : c_(context),
+        fleet_(fleet),
+        cutoff_(cutoff),
+        health_(health),
+        connections_(connections),
+        cold_(cold) {}
+
+  HostId host(const Open& r);  // kNone: there is none that the rules allow
+
+ private:
+  bool idle(const Host& h) const;
+  double load(const Host& h) const { return (h.inflight + 1) * h.pace; }
+  bool allowed(const Open& r, const Host& h) const;
+  void gather(const Open& r, bool relaxed);
+
+  Context& c_;
+  Fleet& fleet_;
+  const Cutoff& cutoff_;
+  const HostHealth& health_;
+  const Connections& connections_;
+  ColdStart& cold_;
+  double few_ = 1;  // held by a host of the usual pace: fewer is idle
+  std::vector<HostId> ready_;
+};
+
+}  // namespace ochrehill
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -78,6 +78,8 @@
   std::deque<std::pair<std::uint32_t, std::uint32_t>> sent;  // (slot, generation) in order of sending
 };
 
+inline bool sick(const Host& h) { return h.health != Health::good || h.silent; }
+
 struct Try {
   HostId host = kNone;
   Time at{};
@@ -105,16 +107,6 @@
   }
 };
 
-// The attempt at a host that a reference (slot, generation) names, if it is still out.
-inline const Try* outTry(const std::vector<Open>& slots, std::pair<std::uint32_t, std::uint32_t> ref,
-                         HostId host) {
-  const Open& r = slots[ref.first];
-  if (!r.live || r.generation != ref.second) return nullptr;
-  for (std::uint32_t i = 0; i < r.count; ++i)
-    if (r.tries[i].out && r.tries[i].host == host) return &r.tries[i];
-  return nullptr;
-}
-
 inline ClassSettings unknownClass(
     ClassSettings like) {  // what nobody described: never repeated, lowest worth
   like.name = "unknown";
@@ -123,19 +115,59 @@
   return like;
 }
 
-// An empty one, told from those that had its place before by its generation.
-inline std::uint32_t takeSlot(std::vector<Open>& slots, std::vector<std::uint32_t>& free) {
-  if (free.empty()) {
-    free.push_back(static_cast<std::uint32_t>(slots.size()));
-    slots.emplace_back();
+// The open requests. A reference is a slot with the generation of its holder, since slots are used again.
+class OpenRequests {
+ public:
+  using Reference = std::pair<std::uint32_t, std::uint32_t>;  // slot, generation
+
+  Open* open(RequestId id) {  // a new one; null if that id is open
+    if (slotOf_.count(id)) return nullptr;
+    if (free_.empty()) {
+      free_.push_back(static_cast<std::uint32_t>(slots_.size()));
+      slots_.emplace_back();
+    }
+    Open& r = slots_[free_.back()];
+    slotOf_.emplace(id, free_.back());
+    free_.pop_back();
+    const std::uint32_t generation = r.generation + 1;
+    r = Open{};
+    r.generation = generation;
+    r.id = id;
+    r.live = true;
+    return &r;
+  }
+  void close(Open& r) {
+    slotOf_.erase(r.id);
+    r.live = false;
+    free_.push_back(slot(r));
+  }
+  Open* find(RequestId id) {
+    const auto it = slotOf_.find(id);
+    return it == slotOf_.end() ? nullptr : &slots_[it->second];
+  }
+  Open* find(Reference ref) {
+    Open& r = slots_[ref.first];
+    return r.live && r.generation == ref.second ? &r : nullptr;
+  }
+  Open& at(std::uint32_t slot) { return slots_[slot]; }
+  std::uint32_t slot(const Open& r) const { return static_cast<std::uint32_t>(&r - slots_.data()); }
+  Reference reference(const Open& r) const { return {slot(r), r.generation}; }
+  std::size_t size() const { return slotOf_.size(); }
+
+  // The attempt at a host that a reference names, if it is still out.
+  const Try* outTry(Reference ref, HostId host) const {
+    const Open& r = slots_[ref.first];
+    if (!r.live || r.generation != ref.second) return nullptr;
+    for (std::uint32_t i = 0; i < r.count; ++i)
+      if (r.tries[i].out && r.tries[i].host == host) return &r.tries[i];
+    return nullptr;
   }
-  const std::uint32_t slot = free.back();
-  free.pop_back();
-  const std::uint32_t generation = slots[slot].generation + 1;
-  slots[slot] = Open{};
-  slots[slot].generation = generation;
-  return slot;
-}
+
+ private:
+  std::vector<Open> slots_;
+  std::vector<std::uint32_t> free_;
+  std::unordered_map<RequestId, std::uint32_t> slotOf_;
+};
 
 struct Kind {  // machines of one size
   std::string name;
@@ -278,6 +310,27 @@
   Time restUntil{};
 };
 
+class Turns {  // by key
+ public:
+  std::size_t join(std::uint64_t key, std::uint32_t slot) {  // how many are before it
+    std::deque<std::uint32_t>& queue = turns_[key].queue;
+    queue.push_back(slot);
+    return queue.size() - 1;
+  }
+  void leave(std::uint64_t key, std::uint32_t slot) { std::erase(turns_[key].queue, slot); }
+  void rest(std::uint64_t key, Time until) { turns_[key].restUntil = until; }
+  const Turn* waiting(std::uint64_t key) const {  // null: nobody waits
+    const auto it = turns_.find(key);
+    return it == turns_.end() || it->second.queue.empty() ? nullptr : &it->second;
+  }
+  void forgetIdle(Time now) {
+    std::erase_if(turns_, [&](const auto& t) { return t.second.queue.empty() && now >= t.second.restUntil; });
+  }
+
+ private:
+  std::unordered_map<std::uint64_t, Turn> turns_;
+};
+
 enum class Due { answer, copy, turn };  // last moment for an answer; a second copy; a look at the key's turn
 
 struct Guard {
