--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -122,6 +122,11 @@
   bool spent = false;     // the request is no longer held and can't be sent again
 };
 
+struct LoadReport {   // what a host says of itself, of all gateways together; it lags and is noisy
+  double util = -1;   // how busy its cores are, 0 to 1; negative: not told
+  Duration recent{};  // its recent time for an answer, without waiting; 0: not told
+};
+
 enum class ActionKind { send, refuse, fail, cancel, close, forget, wake, subscribe, log };
 
 struct Action {
@@ -147,6 +152,8 @@
   void onWhole(Time now, RequestId request);  // of one that was still coming, the last part is here
   void onAnswerStarted(Time now, RequestId request, std::uint32_t attempt);  // streamed classes
   void onResult(Time now, const AttemptResult& result);
+  // A host's report of its load came in, with an answer (before its onResult) or by a probe.
+  void onReport(Time now, HostId host, const LoadReport& report);
   void onClientGone(Time now, RequestId request);
   // An operator takes a host out by its address, or calls it back. While it is out nothing is sent to it,
   // whatever the lists say; it may be unlisted meanwhile. Once back it counts as started at `now`, unless a
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -34,6 +34,11 @@
 void Balancer::onResult(Time now, const AttemptResult& result) {
   impl_->event(now, [&] { impl_->attempts.onResult(result); });
 }
+void Balancer::onReport(Time now, HostId host, const LoadReport& report) {
+  impl_->event(now, [&] {
+    if (host < impl_->fleet.size()) impl_->cold.onReport(impl_->fleet.at(host), report);
+  });
+}
 void Balancer::onClientGone(Time now, RequestId request) {
   impl_->event(now, [&] { impl_->attempts.onClientGone(request); });
 }
--- a/src/decide/attempts.cpp
+++ b/src/decide/attempts.cpp
@@ -106,6 +106,7 @@
   if (a.outcome == Outcome::full || a.outcome == Outcome::connectFailed || a.outcome == Outcome::moot)
     t.mayHaveRun = false;
   health_.judge(h, r, a);
+  if (a.outcome == Outcome::served) cold_.served(h);
   h.used = c_.now;
   if (t.dialled && a.outcome == Outcome::served) h.dialFails = 0;
   connections_.note(t, a.outcome);
--- a/src/decide/attempts.hpp
+++ b/src/decide/attempts.hpp
@@ -61,8 +61,8 @@
   Turns turns_;
   std::vector<std::uint64_t> turnsDue_;  // keys whose turn may have passed on in this event
   double retryTokens_ = kRetrySaved;
-  static constexpr double kRetryShare = 0.3;  // resends per new request
-  static constexpr double kRetrySaved = 3;    // resends that may be saved up, beyond those of a second
+  // Resends per new request; and those that may be saved up, beyond those of a second.
+  static constexpr double kRetryShare = 0.3, kRetrySaved = 3;
 };
 
 }  // namespace ochrehill
--- a/src/decide/cold_start.cpp
+++ b/src/decide/cold_start.cpp
@@ -1,37 +1,71 @@
 #include "decide/cold_start.hpp"
 
+#include <cmath>
+
 namespace ochrehill {
 namespace {
 
-constexpr double kColdPart = 0.45;      // load of a cold host, as a part of the multiple that fells it
+constexpr double kColdPart = 0.33;      // load of a cold host, as a part of the multiple that fells it
+constexpr double kChance = 3.5;         // and the multiple must lie so many times the scatter above it
 constexpr double kProvenDecay = 0.997;  // per sweep: proven rates of a machine kind fade over half a minute
+constexpr double kPermitLasts = 0.5;    // windows
+// By load reports. So many answers count for what was supposed before, and so many are remembered.
+constexpr double kReportPrior = 2, kReportMemory = 40;
+constexpr double kReportDecay = 0.995;                     // per sweep: and for some twenty seconds
+constexpr double kRecentGain = 0.2;                        // per report: over the last five
+constexpr double kReportLeast = 0.05;                      // a host that says less says nothing
+constexpr Duration kReportGap = std::chrono::seconds(10);  // a longer silence tells nothing more
+// Danger: what a strong host bears fells a weak one. Nothing is known: this part of an even share of our
+// requests. A kind not heard of yet: this part of the pool's, or of that by its speed.
+constexpr double kEvenDoubt = 0.35, kKindDoubt = 0.5;
 
 }  // namespace
 
-// Danger: all gateways together push a cold host over. Each keeps to its own part: the cold share of what
-// it has warm hosts of that kind carry, in every window, refused attempts counted. That may be a small part
-// of a request; a floor of one, times hundreds of gateways, would be a flood.
+// Danger: all gateways together push a cold host over. Each keeps to its own part, in every window, refused
+// attempts counted. That may be a small part of a request; a floor of one, times hundreds of gateways, would
+// be a flood.
 bool ColdStart::mayTake(Host& h) {
   if (!fleet_.isCold(h)) return true;
   const double window = std::max(toSeconds(c_.set.fallWindow), 0.1);
-  // No warm one of its kind seen, e.g. after our own restart: an even share of what we get.
-  const double even = cutoff_.askedRate() / static_cast<double>(std::max<std::size_t>(fleet_.width(), 1));
-  const double proven = fleet_.kindOf(h).proven > 0 ? fleet_.kindOf(h).proven : even;
-  const double most =
-      kColdPart * (2 + cutoff_.evidence()) / 3;  // less where it is spent first (see the pick)
-  const double rate = proven * fleet_.warmth(h) * part_ * most * c_.set.fallMultiple;
-  h.coldTokens =
-      std::min(h.coldTokens + rate * toSeconds(c_.now - h.coldAt), std::max(1.0, rate * window / 4));
+  const double rate = safeRate(h, window) * part_;
+  // Danger: permits that many gateways save up, one each, are spent together when their traffic swings. So
+  // each comes at its time and lapses soon.
+  h.coldTokens += rate * toSeconds(c_.now - h.coldAt);
   h.coldAt = c_.now;
-  return h.coldTokens >= 1;
+  if (h.coldTokens >= 2) h.coldTokens = 1 + std::fmod(h.coldTokens, 1);
+  return h.coldTokens >= 1 && h.coldTokens - 1 <= rate * window * kPermitLasts;
+}
+
+// Requests a second from us that the host bears beside those of the others.
+double ColdStart::safeRate(const Host& h, double window) const {
+  const Kind& kind = fleet_.kindOf(h);
+  const double now = kind.capacity * fleet_.warmth(h);
+  // Danger: beside the limit of few requests a window, chance alone fells a host. What all send together
+  // scatters by its square root, so the limit must lie so many times that above it.
+  const double all = now * window * c_.set.groupSize, limit = c_.set.fallMultiple * all;
+  const double root = (std::sqrt(kChance * kChance + 4 * limit) - kChance) / 2;
+  const double part = all > 0 ? std::min(kColdPart * c_.set.fallMultiple, root * root / all) : 0;
+  return now * part;
 }
 
-void ColdStart::sent(Host& h) {
-  if (fleet_.isCold(h)) h.coldTokens -= 1;
+// Since our last answer from it the host was about as busy as it says, for all gateways, and served us one.
+// Answers over busy time is what it would serve us if it were always busy: our part of its capacity. Summed
+// over the hosts of a kind, so that no single host can lie much.
+void ColdStart::onReport(Host& h, const LoadReport& report) {
+  Kind& kind = fleet_.kindOf(h);
+  if (report.recent > Duration{}) {
+    const double took = toSeconds(report.recent) * fleet_.warmth(h);
+    kind.recent += (kind.recent > 0 ? kRecentGain : 1) * (took - kind.recent);
+    recent_ += (recent_ > 0 ? kRecentGain : 1) * (took - recent_);
+  }
+  if (report.util < 0) return;
+  const Duration gap = std::min(c_.now - std::exchange(h.reportedAt, c_.now), kReportGap);
+  kind.busy += std::max(report.util, kReportLeast) * fleet_.warmth(h) * toSeconds(gap);
 }
 
-// What a warm host of each kind has lately carried. Danger: in a deploy of nearly all hosts the last warm
-// ones are buried, and their sinking rates would starve the cold ones that could help; hence a slow decay.
+// What a warm host of each kind has lately carried, and could carry by the load reports. Danger: in a deploy
+// of nearly all hosts the last warm ones are buried, and their sinking rates would starve the cold ones that
+// could help; hence a slow decay.
 void ColdStart::sweep() {
   for (Kind& k : fleet_.kinds()) k.served = k.count = 0;
   for (std::size_t i = 0; i < fleet_.order().size(); ++i) {
@@ -42,9 +76,19 @@
     }
     h.served = 0;
   }
+  const double even = std::max(cutoff_.askedRate() / std::max<double>(fleet_.width(), 1), 1e-6);
+  double answers = kReportPrior, busy = kReportPrior / even;
+  for (const Kind& k : fleet_.kinds()) answers += k.answers, busy += k.busy;
   for (Kind& k : fleet_.kinds()) {
     if (k.count > 0) k.rate += cutoff_.fastGain() * (k.served / k.count / toSeconds(kSweep) - k.rate);
     k.proven = std::max(k.rate, k.proven * kProvenDecay);
+    const double faster = k.recent > 0 ? std::clamp(recent_ / k.recent, 0.3, 3.0) : kKindDoubt;
+    const double prior = kKindDoubt * faster * answers / busy;
+    k.capacity = (k.answers + kReportPrior) / (k.busy + kReportPrior / prior);
+    if (recent_ <= 0) k.capacity = k.proven > 0 ? k.proven : kEvenDoubt * even;
+    const double keep = std::min(kReportDecay, kReportMemory / std::max(k.answers, 1.0));
+    k.answers *= keep;
+    k.busy *= keep;
   }
 }
 
--- a/src/decide/cutoff.cpp
+++ b/src/decide/cutoff.cpp
@@ -126,8 +126,7 @@
   const int step = static_cast<int>(cut_ / 20);
   if (step != loggedCut_ && c_.mayLog()) {
     loggedCut_ = step;
-    c_.log("cutoff " + std::to_string(static_cast<int>(cut_)) + " inflight max " +
-           std::to_string(static_cast<int>(inflightMax())) + " error overload " +
+    c_.log("cutoff " + std::to_string(static_cast<int>(cut_)) + " error overload " +
            std::to_string(errorOverload_));
   }
 }
--- a/src/decide/fleet.cpp
+++ b/src/decide/fleet.cpp
@@ -94,7 +94,7 @@
   h.pace = kindOf(h).pace / std::sqrt(warmth(h));
   // Danger: a first request from every one of many gateways at once is a burst; a drawn phase spreads them.
   h.coldTokens = c_.drawUnit();
-  h.coldAt = c_.now;
+  h.coldAt = h.reportedAt = c_.now;
 }
 
 // Danger: the list may not tell yet that a host was restarted while it was out; taken for warm it is pushed
@@ -152,30 +152,4 @@
     if (isCold(hosts_[order_[i]])) coldOwn_.push_back(order_[i]);
 }
 
-void Subscription::onHosts(ListKind kind) {
-  if (kind == ListKind::unavailable) {
-    failures_ = std::min(failures_ + 1, 4);
-    asking_ = false;
-    Duration wait = std::chrono::milliseconds(500) * (1 << failures_);
-    // Danger: a limit set after the jitter makes all gateways come back in one moment.
-    if (c_.set.askWithin > Duration{}) wait = std::min(wait, c_.set.askWithin / 5);
-    again_ = c_.now + scaled(wait, 0.5 + c_.drawUnit());
-  } else if (kind == ListKind::restored) {
-    if (c_.set.askDiscovery) again_ = c_.now;  // it may be stale: ask at once
-  } else {
-    failures_ = 0;
-    answered_ = true;
-  }
-}
-
-void Subscription::ask() {
-  // Danger: a call whose answer is lost would leave the gateway silent towards discovery for good.
-  const bool lost = !answered_ && c_.set.askWithin > Duration{} && c_.now - askedAt_ > c_.set.askWithin / 2;
-  if (!c_.set.askDiscovery || (asking_ && !lost) || c_.now < again_) return;
-  c_.emit(ActionKind::subscribe);
-  asking_ = true;  // until it fails
-  answered_ = false;
-  askedAt_ = c_.now;
-}
-
 }  // namespace ochrehill
--- a/src/decide/fleet.hpp
+++ b/src/decide/fleet.hpp
@@ -14,6 +14,7 @@
   void sweep();
   void forgetGone(HostId id);  // if no list and no open request names it any more
 
+  HostId size() const { return hosts_.size(); }
   Host& at(HostId id) { return hosts_[id]; }
   const Host& at(HostId id) const { return hosts_[id]; }
   HostId find(std::string_view address) const { return hosts_.find(address); }
@@ -24,9 +25,8 @@
   const std::vector<HostId>& order() const { return order_; }    // the same hosts, this gateway's own first
   std::size_t width() const { return width_; }  // so many of them are in use while one of them is idle
   const std::vector<HostId>& coldOwn() const { return coldOwn_; }  // within the width, when last counted
-  // From here on once around: the listed hosts in order of a hash, the same order at every gateway.
-  std::size_t onRing(std::uint64_t place) const;
-  const std::vector<HostId>& ring() const { return ring_; }
+  const std::vector<HostId>& ring() const { return ring_; }  // listed, by hash: the same at every gateway
+  std::size_t onRing(std::uint64_t place) const;             // where the first one at or after it is
 
   void hold(Host& h, int more);       // it has so much more work of ours
   void recount();                     // after hosts fell sick or got well
@@ -57,17 +57,4 @@
   double medianCrowd_ = 1;
 };
 
-class Subscription {  // to discovery: when it is asked for the list
- public:
-  explicit Subscription(Context& context) : c_(context) {}
-  void onHosts(ListKind kind);
-  void ask();
-
- private:
-  Context& c_;
-  bool asking_ = false, answered_ = false;
-  Time askedAt_{}, again_{};
-  int failures_ = 0;
-};
-
 }  // namespace ochrehill
--- a/src/decide/parts.hpp
+++ b/src/decide/parts.hpp
@@ -2,11 +2,11 @@
 //
 // A request is scored 1 to 100 by worth, refused unsent when it scores below the cutoff, and otherwise sent
 // to a random ready host that holds few of our requests, else to the lighter of two draws. Each part
-// knows only those before it: hosts and lists (fleet), score and cutoff, health of
-// hosts, connections, budgets of cold hosts, pick, attempts. Plain state types and pure helpers: state.hpp.
+// knows only those before it. Plain state types and pure helpers: state.hpp.
 #pragma once
 
 #include "decide/attempts.hpp"
+#include "subscription.hpp"
 
 namespace ochrehill {
 
--- a/src/lab/policy.hpp
+++ b/src/lab/policy.hpp
@@ -17,6 +17,7 @@
                        const std::vector<ochrehill::HostEntry>& entries) = 0;
   virtual void onRequest(ochrehill::Time now, const ochrehill::Request& request) = 0;
   virtual void onResult(ochrehill::Time now, const ochrehill::AttemptResult& result) = 0;
+  virtual void onReport(ochrehill::Time, ochrehill::HostId, const ochrehill::LoadReport&) {}
   virtual void onClientGone(ochrehill::Time now, ochrehill::RequestId request) = 0;
   virtual void onWake(ochrehill::Time now) = 0;
   virtual std::vector<ochrehill::Action>& actions() = 0;
@@ -39,6 +40,9 @@
   void onResult(ochrehill::Time now, const ochrehill::AttemptResult& result) override {
     balancer_.onResult(now, result);
   }
+  void onReport(ochrehill::Time now, ochrehill::HostId host, const ochrehill::LoadReport& report) override {
+    balancer_.onReport(now, host, report);
+  }
   void onClientGone(ochrehill::Time now, ochrehill::RequestId request) override {
     balancer_.onClientGone(now, request);
   }
--- a/src/lab/virtual_fleet.cpp
+++ b/src/lab/virtual_fleet.cpp
@@ -112,7 +112,9 @@
   std::uint32_t boot = 0;  // of the host
   bool live = false, settled = false, fresh = false, counted = false, arrived = false;
   Time sentAt{};
-  double work = 0;  // that it cost the host, once done
+  double work = 0;                               // that it cost the host, once done
+  ochrehill::HostId knownAs = ochrehill::kNone;  // by the policy
+  std::optional<LoadReport> load;                // that came with its answer
 };
 
 struct Gateway {
@@ -614,6 +616,7 @@
   a.gateway = number;
   a.boot = hosts_[host].boot;
   a.sentAt = now_;
+  a.knownAs = action.host;
   if (r.out > 0) ++tally_.secondCopies;
   if (r.count < kMostAttempts) {
     r.attempts[r.count] = slot;
@@ -693,6 +696,7 @@
   }
   result.terminal = r.ended;
   const std::uint32_t gateway = a.gateway, request = a.request;
+  if (a.load && !givenUp) g.policy->onReport(now_, a.knownAs, {a.load->util, fromMillis(a.load->latencyMs)});
   attempts_.give(slot);
   g.policy->onResult(now_, result);
   carryOut(gateway);
@@ -750,8 +754,10 @@
     referee_.fell(now_, a.host, f.knownShare, f.pushed, f.borne);
     return stopHost(a.host);
   }
-  if (admission == Admission::full) ends(Outcome::full, back);
-  else taken();
+  if (admission == Admission::full) {
+    a.load = h.model.report(now_);
+    ends(Outcome::full, back);
+  } else taken();
   afterHost(a.host);
 }
 
@@ -768,6 +774,7 @@
     if (outcome == Outcome::served && h.luck.chance(h.model.condition().spoiltShare))
       outcome = Outcome::reset;
     if (h.cut) continue;  // the answer is lost on the way
+    if (outcome != Outcome::reset) a->load = h.model.report(now_);
     add(now_ + toHost(a->gateway, number) + h.model.condition().trickle,
         {What::attemptEnds, static_cast<std::uint8_t>(outcome), slot, a->generation});
   }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -316,6 +316,7 @@
   result.taken = end.taken;
   result.terminal = exchange.ended;
   result.spent = exchange.body && exchange.body->spent();
+  if (end.load) balancer_.onReport(now(), end.host, *end.load);
   balancer_.onResult(now(), result);
 }
 
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "net/framing.hpp"
+#include "net/load_report.hpp"
 
 namespace cairnjunction {
 namespace {
@@ -287,6 +288,11 @@
   bool longBody() const { return parser->content_length() && *parser->content_length() > kHoldLimit; }
   bool framed() const { return response.chunked() || response.has_content_length(); }
 
+  static std::optional<ochrehill::LoadReport> loadOf(const http::response_header<>& head) {
+    const boost::beast::string_view value = head["X-Load"];
+    return value.empty() ? std::nullopt : readLoadReport({value.data(), value.size()});
+  }
+
   Outcome judge() const {
     if (response.result() == http::status::ok) return Outcome::served;
     const bool busy = response.result() == http::status::service_unavailable ||
@@ -332,7 +338,7 @@
       if (const auto c = weak.lock()) c->close();
     };
     phase = Phase::reading;
-    AttemptEnd done{key, host, Outcome::served, Clock::now() - sentAt, response, down};
+    AttemptEnd done{key, host, Outcome::served, Clock::now() - sentAt, loadOf(response), response, down};
     pool->busy_.erase(key);
     pool->streams_.insert(self);
     progress();
@@ -364,7 +370,8 @@
   void end(Outcome outcome, bool keep = false) {
     const auto self = shared_from_this();
     if (down) return close();
-    AttemptEnd done{key, host, outcome, Clock::now() - sentAt, {}, nullptr};
+    AttemptEnd done{key, host, outcome, Clock::now() - sentAt, std::nullopt, {}, nullptr};
+    if (outcome == Outcome::served || outcome == Outcome::full) done.load = loadOf(response);
     if (outcome == Outcome::served) {
       done.answer = std::move(response);
       done.answer.body() = std::exchange(held, {});
@@ -449,12 +456,13 @@
                      std::shared_ptr<Pipe> body) {
   const auto now = Clock::now();
   const auto known = hosts_.find(host);
-  if (known == hosts_.end()) return ended_({key, host, Outcome::connectFailed, {}, {}, nullptr});
+  if (known == hosts_.end())
+    return ended_({key, host, Outcome::connectFailed, {}, std::nullopt, {}, nullptr});
   std::shared_ptr<Connection> connection = takeIdle(known->second);
   const bool fresh = !connection;
   if (fresh) {
     if (open_ >= limits_.connections && !closeOldestIdle())
-      return ended_({key, host, Outcome::connectFailed, {}, {}, nullptr});
+      return ended_({key, host, Outcome::connectFailed, {}, std::nullopt, {}, nullptr});
     connection = std::make_shared<Connection>(*this, host);
   }
   connection->key = key;
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -35,7 +36,8 @@
   ochrehill::HostId host = ochrehill::kNone;
   ochrehill::Outcome outcome = ochrehill::Outcome::reset;
   ochrehill::Duration taken{};
-  HttpResponse answer;         // with Outcome::served; whole,
+  std::optional<ochrehill::LoadReport> load;  // where the answer told it
+  HttpResponse answer;                        // with Outcome::served; whole,
   std::shared_ptr<Pipe> rest;  // or with its body still to come, and to be cut if it can't go on
 };
 
--- /dev/null
+++ b/src/net/load_report.hpp
@@ -0,0 +1,15 @@
+// The load report that a host puts on an answer: X-Load: TEXT latency_ms=14.5, util=0.62
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "ochrehill/ochrehill.hpp"
+
+namespace cairnjunction {
+
+// Nothing where no field of ours can be read. A field that is no number, or out of all bounds, counts as not
+// told; fields that we don't know are passed over.
+std::optional<ochrehill::LoadReport> readLoadReport(std::string_view value);
+
+}  // namespace cairnjunction
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -76,6 +76,7 @@
   int dialFails = 0;              // connections on end that could not be opened
   double coldTokens = 0;
   Time coldAt{};
+  Time reportedAt{};  // our last answer with a load report, or when we first knew of this process
   std::deque<std::pair<std::uint32_t, std::uint32_t>> sent;  // (slot, generation) in order of sending
   std::uint64_t lookedAt = 0;                                // number of the last pick that considered it
 };
@@ -211,6 +212,9 @@
   double weight = 0;             // of an empty host
   double served = 0, count = 0;  // by warm hosts since the last sweep, and how many they are
   double rate = 0, proven = 0;   // answers a second that a warm host of this kind gives us; kept for a while
+  double answers = 0, busy = 0;  // by load reports, faded: answers to us; warm seconds its hosts were busy
+  double recent = 0;             // by load reports: seconds a warm one takes for an answer, without waiting
+  double capacity = 0;           // answers a second that a warm, always busy one would give us
 };
 
 struct Level {  // requests of one worth, for the ranks
--- /dev/null
+++ b/src/subscription.hpp
@@ -0,0 +1,21 @@
+// When discovery is asked for the list of hosts. It decides nothing about requests.
+#pragma once
+
+#include "context.hpp"
+
+namespace ochrehill {
+
+class Subscription {
+ public:
+  explicit Subscription(Context& context) : c_(context) {}
+  void onHosts(ListKind kind);
+  void ask();
+
+ private:
+  Context& c_;
+  bool asking_ = false, answered_ = false;
+  Time askedAt_{}, again_{};
+  int failures_ = 0;
+};
+
+}  // namespace ochrehill
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -178,6 +178,7 @@
   std::vector<Ref> refs;
   std::vector<std::uint32_t> freeRefs;
   std::unordered_map<std::string, std::uint32_t, TextHash, std::equal_to<>> classOf, tenantOf;
+  std::vector<std::string> reportFields;
   std::string reply;
   bool touched = false;
 
@@ -188,6 +189,20 @@
       tenantOf.emplace(s.tenants[i].name, static_cast<std::uint32_t>(i));
   }
 
+  LoadReport report(std::string_view row) const {  // its values, in the order of the fields
+    LoadReport out;
+    const std::vector<std::string> values = names(row);
+    for (std::size_t i = 0; i < std::min(values.size(), reportFields.size()); ++i) {
+      double value = 0;
+      const char* end = values[i].data() + values[i].size();
+      if (const auto read = std::from_chars(values[i].data(), end, value);
+          read.ec != std::errc{} || read.ptr != end)
+        throw BadLine("metrics: '" + values[i] + "' is no number");
+      if (reportFields[i] == "utilization") out.util = std::clamp(value, 0.0, 1.0);
+      if (reportFields[i] == "recent_ms") out.recent = Duration(static_cast<Duration::rep>(value * 1e6));
+    }
+    return out;
+  }
   RequestId idOf(std::uint32_t slot) const {
     return (static_cast<RequestId>(refs[slot].generation) << 32) | slot;
   }
@@ -337,13 +352,11 @@
 }
 
 void Adapter::enlist(std::string_view rest) {
-  std::string_view scan = rest, name;
+  std::string_view scan = rest, name, fields;
   Pair p;
   while (nextPair(scan, p))
-    if (p.name == "i") {
-      name = p.value;
-      break;
-    }
+    if (p.name == "i") name = p.value;
+    else if (p.name == "report.fields") fields = p.value;
   if (name.empty()) throw BadLine("no instance");
   const auto old = gateways_.find(name);
   if (old != gateways_.end()) {
@@ -351,7 +364,9 @@
     gateways_.erase(old);
   }
   try {
-    gateways_.emplace(std::string(name), std::make_unique<Gateway>(name, readSettings(rest), Time(clock_)));
+    auto gateway = std::make_unique<Gateway>(name, readSettings(rest), Time(clock_));
+    gateway->reportFields = names(fields);
+    gateways_.emplace(std::string(name), std::move(gateway));
   } catch (const std::invalid_argument& bad) {
     throw BadLine(bad.what());
   }
@@ -467,7 +482,7 @@
 
 void Adapter::settled(Gateway& g, std::string_view rest) {
   AttemptResult a;
-  std::string_view id;
+  std::string_view id, host, metrics;
   Pair p;
   bool numbered = false, coded = false;
   while (nextPair(rest, p)) {
@@ -480,6 +495,8 @@
       coded = true;
     } else if (p.name == "timeTakenNs") a.taken = span(p);
     else if (p.name == "terminal") a.terminal = boolean(p);
+    else if (p.name == "host") host = p.value;
+    else if (p.name == "metrics") metrics = p.value;
   }
   if (id.empty() || !numbered || !coded) throw BadLine("ref, go or disposition missing");
   std::uint32_t slot = 0;
@@ -488,6 +505,7 @@
   a.request = g.idOf(slot);
   if (ref->out > 0) --ref->out;
   if (a.terminal) ref->ended = true;
+  if (!metrics.empty()) g.balancer.onReport(Time(clock_), g.balancer.findHost(host), g.report(metrics));
   g.balancer.onResult(Time(clock_), a);
   print(g);
   if (g.find(id, slot)) g.dropIfOver(slot);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <map>
 
+#include "net/load_report.hpp"
 #include "net_peers.hpp"
 
 namespace cairnjunction::testing {
@@ -138,5 +139,20 @@
   EXPECT_EQ(parseConfig(j, environment, Reading::again).discovery.port(), 6);
 }
 
+TEST(LoadReport, ReadsWhatAHostSaysAndNothingElse) {
+  const auto both = readLoadReport("TEXT latency_ms=14.5, util=0.62");
+  ASSERT_TRUE(both);
+  EXPECT_DOUBLE_EQ(both->util, 0.62);
+  EXPECT_EQ(both->recent, std::chrono::microseconds(14500));
+  const auto one = readLoadReport(" TEXT queue=2,util=1.2 ");
+  ASSERT_TRUE(one);
+  EXPECT_EQ(one->util, 1);  // busier than it can be: taken for busy
+  EXPECT_EQ(one->recent, ochrehill::Duration{});
+  for (const char* nothing :
+       {"", "util=0.5", "TEXT", "TEXT ", "TEXT queue=2", "TEXT util=", "TEXT util=nan", "TEXT util=-0.5",
+        "TEXT util=7", "TEXT util=0.5x", "TEXT latency_ms=1e99", "BINARY util=0.5", "TEXT ,,,=,"})
+    EXPECT_FALSE(readLoadReport(nothing)) << nothing;
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
