--- a/src/decide/cold_start.cpp
+++ b/src/decide/cold_start.cpp
@@ -5,25 +5,23 @@
 namespace ochrehill {
 namespace {
 
-constexpr double kColdPart = 0.33;      // load of a cold host, as a part of the multiple that fells it
+// Load of a cold host, as a part of the multiple that fells it: by load reports, by what warm ones carried.
+constexpr double kLearnedPart = 0.33, kProvenPart = 0.45;
 constexpr double kChance = 3.5;         // and the multiple must lie so many times the scatter above it
 constexpr double kProvenDecay = 0.997;  // per sweep: proven rates of a machine kind fade over half a minute
 constexpr double kPermitLasts = 0.5;    // windows
 // By load reports. So many answers count for what was supposed before, and so many are remembered.
 constexpr double kReportPrior = 2, kReportMemory = 40;
 constexpr double kReportDecay = 0.995;                     // per sweep: and for some twenty seconds
-constexpr double kRecentGain = 0.2;                        // per report: over the last five
-constexpr double kReportLeast = 0.05;                      // a host that says less says nothing
+constexpr double kRecentGain = 0.2, kReportLeast = 0.05;   // per report; who says less says nothing
 constexpr Duration kReportGap = std::chrono::seconds(10);  // a longer silence tells nothing more
-// Danger: what a strong host bears fells a weak one. Nothing is known: this part of an even share of our
-// requests. A kind not heard of yet: this part of the pool's, or of that by its speed.
+// Danger: what a strong host bears fells a weak one. Taken of an even share, of the capacity of the pool.
 constexpr double kEvenDoubt = 0.35, kKindDoubt = 0.5;
 
 }  // namespace
 
-// Danger: all gateways together push a cold host over. Each keeps to its own part, in every window, refused
-// attempts counted. That may be a small part of a request; a floor of one, times hundreds of gateways, would
-// be a flood.
+// Danger: all gateways together push a cold host over. Each keeps to its own part, refused attempts counted.
+// It may be a small part of a request a window; a floor of one, times hundreds of gateways, would be a flood.
 bool ColdStart::mayTake(Host& h) {
   if (!fleet_.isCold(h)) return true;
   const double window = std::max(toSeconds(c_.set.fallWindow), 0.1);
@@ -39,18 +37,21 @@
 // Requests a second from us that the host bears beside those of the others.
 double ColdStart::safeRate(const Host& h, double window) const {
   const Kind& kind = fleet_.kindOf(h);
-  const double now = kind.capacity * fleet_.warmth(h);
-  // Danger: beside the limit of few requests a window, chance alone fells a host. What all send together
-  // scatters by its square root, so the limit must lie so many times that above it.
-  const double all = now * window * c_.set.groupSize, limit = c_.set.fallMultiple * all;
-  const double root = (std::sqrt(kChance * kChance + 4 * limit) - kChance) / 2;
-  const double part = all > 0 ? std::min(kColdPart * c_.set.fallMultiple, root * root / all) : 0;
-  return now * part;
+  // What warm ones of its kind were seen to carry; else, when all are cold, what the reports teach. Danger:
+  // these teach too little of hosts that are crowded, less is sent, and refusals go on.
+  const bool proven = kind.proven > 0;
+  const double part = proven ? kProvenPart * (2 + cutoff_.evidence()) / 3 : kLearnedPart;
+  const double borne = (proven ? kind.proven : kind.capacity) * fleet_.warmth(h) * c_.set.fallMultiple;
+  // Danger: beside a limit of few requests a window, chance alone fells a host: their sum scatters by its
+  // root.
+  const double bank = window * c_.set.groupSize;
+  const double root = (std::sqrt(kChance * kChance + 4 * borne * bank) - kChance) / 2;
+  return std::min(part * borne, root * root / bank);
 }
 
 // Since our last answer from it the host was about as busy as it says, for all gateways, and served us one.
-// Answers over busy time is what it would serve us if it were always busy: our part of its capacity. Summed
-// over the hosts of a kind, so that no single host can lie much.
+// Answers over busy time is our part of what it can do. Summed over a kind's hosts, so that no single one can
+// lie much.
 void ColdStart::onReport(Host& h, const LoadReport& report) {
   Kind& kind = fleet_.kindOf(h);
   if (report.recent > Duration{}) {
@@ -63,9 +64,8 @@
   kind.busy += std::max(report.util, kReportLeast) * fleet_.warmth(h) * toSeconds(gap);
 }
 
-// What a warm host of each kind has lately carried, and could carry by the load reports. Danger: in a deploy
-// of nearly all hosts the last warm ones are buried, and their sinking rates would starve the cold ones that
-// could help; hence a slow decay.
+// What a warm host of each kind carried and could carry. Danger: in a deploy of nearly all the last warm ones
+// are buried, and their sinking rates would starve the cold ones that could help; hence a slow decay.
 void ColdStart::sweep() {
   for (Kind& k : fleet_.kinds()) k.served = k.count = 0;
   for (std::size_t i = 0; i < fleet_.order().size(); ++i) {
@@ -85,7 +85,7 @@
     const double faster = k.recent > 0 ? std::clamp(recent_ / k.recent, 0.3, 3.0) : kKindDoubt;
     const double prior = kKindDoubt * faster * answers / busy;
     k.capacity = (k.answers + kReportPrior) / (k.busy + kReportPrior / prior);
-    if (recent_ <= 0) k.capacity = k.proven > 0 ? k.proven : kEvenDoubt * even;
+    if (recent_ <= 0) k.capacity = kEvenDoubt * even;
     const double keep = std::min(kReportDecay, kReportMemory / std::max(k.answers, 1.0));
     k.answers *= keep;
     k.busy *= keep;
