--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -196,8 +196,8 @@
       double value = 0;
       const char* end = values[i].data() + values[i].size();
       if (const auto read = std::from_chars(values[i].data(), end, value);
-          read.ec != std::errc{} || read.ptr != end)
-        throw BadLine("metrics: '" + values[i] + "' is no number");
+          read.ec != std::errc{} || read.ptr != end || !(value >= 0 && value <= 1e6))
+        throw BadLine("metrics: '" + values[i] + "' should be a number from 0 to 1e6");
       if (reportFields[i] == "utilization") out.util = std::clamp(value, 0.0, 1.0);
       if (reportFields[i] == "recent_ms") out.recent = Duration(static_cast<Duration::rep>(value * 1e6));
     }
