--- a/src/context.hpp
+++ b/src/context.hpp
@@ -8,8 +8,8 @@
 
 namespace ochrehill {
 
-inline constexpr Duration kSweep = std::chrono::milliseconds(100);  // statistics are renewed so often: a few
-                                                                    // answer times
+// Statistics are renewed so often: a few answer times.
+inline constexpr Duration kSweep = std::chrono::milliseconds(100);
 inline constexpr double kNormGain = 0.02;  // per answer: a class's usual time, over its last fifty answers
 
 struct Context {
--- a/src/decide/fleet.cpp
+++ b/src/decide/fleet.cpp
@@ -126,7 +126,7 @@
   const auto after = [&](HostId id) { return mix(hosts_[id].hash ^ salt) - start; };
   order_ = listed_;
   std::sort(order_.begin(), order_.end(), [&](HostId a, HostId b) { return after(a) < after(b); });
-  ring_ = listed_;
+  if (c_.set.warmKeys) ring_ = listed_;  // else nobody asks for it
   std::sort(ring_.begin(), ring_.end(), [&](HostId a, HostId b) { return hosts_[a].hash < hosts_[b].hash; });
   recount();
 }
--- a/src/decide/fleet.hpp
+++ b/src/decide/fleet.hpp
@@ -25,8 +25,8 @@
   const std::vector<HostId>& order() const { return order_; }    // the same hosts, this gateway's own first
   std::size_t width() const { return width_; }  // so many of them are in use while one of them is idle
   const std::vector<HostId>& coldOwn() const { return coldOwn_; }  // within the width, when last counted
-  const std::vector<HostId>& ring() const { return ring_; }  // listed, by hash: the same at every gateway
-  std::size_t onRing(std::uint64_t place) const;             // where the first one at or after it is
+  const std::vector<HostId>& ring() const { return ring_; }        // with warm keys: listed, by hash
+  std::size_t onRing(std::uint64_t place) const;                   // where the first one at or after it is
 
   void hold(Host& h, int more);       // it has so much more work of ours
   void recount();                     // after hosts fell sick or got well
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -114,6 +114,12 @@
 
 }  // namespace
 
+void addDayChoice(CLI::App& command, DayChoice& choice) {
+  command.add_option("scenario", choice.scenario, "scenario file")->required();
+  command.add_option("--seed", choice.seed, "seed of the day");
+  command.add_option("--set", choice.set, "set a field first, such as clients.load=0.9");
+}
+
 void writeFile(const std::string& path, const std::string& text) {
   std::ofstream file(path, std::ios::binary);
   file << text;
--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -22,6 +22,13 @@
 // `file` with assignments of setField carried out. Throws BadInput: "FILE: FIELD: MISTAKE", a line for each.
 Scenario openScenario(const std::string& file, const std::vector<std::string>& assignments = {});
 
+struct DayChoice {  // which day a command is about
+  std::string scenario;
+  std::vector<std::string> set;  // assignments
+  std::uint64_t seed = 1;
+};
+void addDayChoice(CLI::App& command, DayChoice& choice);  // its options: scenario, --seed, --set
+
 void addCheck(CLI::App& app, int& result);
 void addFields(CLI::App& app, int& result);
 void addRun(CLI::App& app, int& result);
--- a/src/lab/commands_live.cpp
+++ b/src/lab/commands_live.cpp
@@ -19,10 +19,8 @@
 namespace fs = std::filesystem;
 using ordered = nlohmann::ordered_json;
 
-struct LiveCommand {
-  std::string scenario, gateway = besideThisProgram("cairnjunction"), out, report;
-  std::vector<std::string> set;
-  std::uint64_t seed = 1;
+struct LiveCommand : DayChoice {
+  std::string gateway = besideThisProgram("cairnjunction"), out, report;
   bool json = false;
 };
 
@@ -68,10 +66,8 @@
                                      "play one day in real time against real gateway processes; exit 1 if a "
                                      "rule was broken, a gateway died or the run is void");
   auto o = std::make_shared<LiveCommand>();
-  command->add_option("scenario", o->scenario, "scenario file")->required();
-  command->add_option("--seed", o->seed, "seed of the day");
+  addDayChoice(*command, *o);
   command->add_option("--gateway", o->gateway, "the gateway's program");
-  command->add_option("--set", o->set, "set a field first, such as clients.load=0.9");
   command->add_option("--out", o->out, "write the results as JSON to this file too");
   command->add_option("--report", o->report, "write an HTML report to this file");
   command->add_flag("--json", o->json, "print JSON");
@@ -87,15 +83,11 @@
   auto* command = app.add_subcommand("emulate",
                                      "serve a scenario's hosts and discovery on loopback until Ctrl-C, for a "
                                      "gateway started by hand");
-  struct Options {
-    std::string scenario, folder = ".";
-    std::vector<std::string> set;
-    std::uint64_t seed = 1;
+  struct Options : DayChoice {
+    std::string folder = ".";
   };
   auto o = std::make_shared<Options>();
-  command->add_option("scenario", o->scenario, "scenario file")->required();
-  command->add_option("--seed", o->seed, "seed of the day");
-  command->add_option("--set", o->set, "set a field first");
+  addDayChoice(*command, *o);
   command->add_option("--folder", o->folder, "where the gateways' configuration files are written");
   command->footer("Example:\n  fennelridge-lab emulate scenarios/quiet.json --folder /tmp");
   command->callback([o] {
@@ -104,18 +96,15 @@
     boost::asio::io_context io(1);
     LiveClock clock(io);
     LiveFleet fleet(io, clock, scenario, o->seed, nullptr);
-    const auto text = [](const boost::asio::ip::tcp::endpoint& e) {
-      return e.address().to_string() + ":" + std::to_string(e.port());
-    };
     std::printf("%zu hosts on loopback. Start a gateway with:\n", fleet.hosts());
     for (std::uint32_t g = 0; g < fleet.layout().gatewayZones.size(); ++g) {
       const std::string zone = scenario.zones[fleet.layout().gatewayZones[g]].name;
       const std::string file =
           (fs::absolute(o->folder) / ("gateway-" + std::to_string(g) + ".json")).string();
-      const std::string listen = text(freeAddress());
+      const std::string listen = textOf(freeAddress());
       writeFile(file, nlohmann::json{{"name", "g" + std::to_string(g)},
                                      {"listen", listen},
-                                     {"discovery", text(fleet.discoveryOf(g))},
+                                     {"discovery", textOf(fleet.discoveryOf(g))},
                                      {"known", fleet.list()},
                                      {"settings",
                                       platformSettings(moduleSettings(scenario, g, zone, o->seed), scenario)}}
@@ -123,7 +112,7 @@
       std::printf("  GW_CONFIG=%s build/cairnjunction   # clients at %s\n", file.c_str(), listen.c_str());
     }
     std::string hosts;
-    for (std::uint32_t h = 0; h < fleet.hosts(); ++h) hosts += text(fleet.endpointOf(h)) + "\n";
+    for (std::uint32_t h = 0; h < fleet.hosts(); ++h) hosts += textOf(fleet.endpointOf(h)) + "\n";
     const std::string file = (fs::absolute(o->folder) / "hosts.txt").string();
     writeFile(file, hosts);
     std::printf("The hosts' own addresses are in %s (load @%s).\nCtrl-C ends it.\n", file.c_str(),
--- a/src/lab/commands_load.cpp
+++ b/src/lab/commands_load.cpp
@@ -197,15 +197,11 @@
 
 void addTrace(CLI::App& app, int&) {
   auto* command = app.add_subcommand("trace", "write a day's first tries as a trace that load can replay");
-  struct Options {
-    std::string scenario, out;
-    std::vector<std::string> set;
-    std::uint64_t seed = 1;
+  struct Options : DayChoice {
+    std::string out;
   };
   auto o = std::make_shared<Options>();
-  command->add_option("scenario", o->scenario, "scenario file")->required();
-  command->add_option("--seed", o->seed, "seed of the day");
-  command->add_option("--set", o->set, "set a field first");
+  addDayChoice(*command, *o);
   command->add_option("--out", o->out, "file to write; else standard output");
   command->footer("Example:\n  fennelridge-lab trace scenarios/rough.json --seed 3 --out day.tsv");
   command->callback([o] {
--- a/src/lab/gateway_process.cpp
+++ b/src/lab/gateway_process.cpp
@@ -20,15 +20,19 @@
 using boost::asio::ip::tcp;
 using nlohmann::json;
 
+}  // namespace
+
 std::string textOf(const tcp::endpoint& e) {
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-}  // namespace
-
 GatewayProcess::GatewayProcess(std::string program, Place place)
     : program_(std::move(program)), place_(std::move(place)) {}
 
+std::string GatewayProcess::notReady() const {
+  return "gateway " + place_.name + " was not ready; its log: " + (place_.folder / "log.txt").string();
+}
+
 GatewayProcess::~GatewayProcess() {
   if (pid_ <= 0) return;
   ::kill(pid_, SIGKILL);
--- a/src/lab/gateway_process.hpp
+++ b/src/lab/gateway_process.hpp
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <filesystem>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -33,6 +34,13 @@
   double cpuSeconds() const;           // user and system time so far; 0 once it has ended
   const Place& place() const { return place_; }
 
+  // A gateway is asked with kReadyAsk whether it takes clients, once each kReadyPause, and answers 200 then;
+  // one that does not within kReadyWithin has failed.
+  static constexpr const char* kReadyAsk = "GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n";
+  static constexpr auto kReadyPause = std::chrono::milliseconds(50);
+  static constexpr auto kReadyWithin = std::chrono::seconds(10);
+  std::string notReady() const;  // what to say of it then, with where its log is
+
  private:
   std::string program_;
   Place place_;
@@ -43,6 +51,8 @@
 // The settings object of the platform for a scenario's gateway.
 nlohmann::json platformSettings(const ochrehill::Settings& module, const Scenario& scenario);
 
+std::string textOf(const boost::asio::ip::tcp::endpoint& endpoint);  // address:port
+
 // A loopback address that was free a moment ago.
 boost::asio::ip::tcp::endpoint freeAddress();
 
--- a/src/lab/live_day.cpp
+++ b/src/lab/live_day.cpp
@@ -33,8 +33,6 @@
 using boost::system::error_code;
 using nlohmann::json;
 
-constexpr Duration kReadyWithin = std::chrono::seconds(10);
-constexpr Duration kReadyAsk = std::chrono::milliseconds(50);
 constexpr Duration kSettleIn = std::chrono::seconds(1);
 constexpr Duration kAfterwards = std::chrono::seconds(10);
 constexpr Duration kOperator = std::chrono::seconds(2);
@@ -235,18 +233,19 @@
 
 void LiveDay::askReady(std::uint32_t number, Time since) {
   Gateway& g = gateways_[number];
-  if (!g.process->running() || clock_.now() - since > kReadyWithin) {
+  if (!g.process->running() || clock_.now() - since > GatewayProcess::kReadyWithin) {
     failed_ = true;
-    failure_ = "gateway " + g.process->place().name +
-               " was not ready; its log: " + (g.process->place().folder / "log.txt").string();
+    failure_ = g.process->notReady();
     return;
   }
   auto exchange = std::make_shared<Exchange>(
-      std::make_unique<tcp::socket>(io_), "GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n",
-      nullptr, [this, number, since](const Exchange::Outcome& o, std::unique_ptr<tcp::socket>) {
+      std::make_unique<tcp::socket>(io_), GatewayProcess::kReadyAsk, nullptr,
+      [this, number, since](const Exchange::Outcome& o, std::unique_ptr<tcp::socket>) {
         Gateway& gate = gateways_[number];
         if (o.status == 200) gate.ready = gate.seenAlive = true;
-        else clock_.at(clock_.now() + kReadyAsk, [this, number, since] { askReady(number, since); });
+        else
+          clock_.at(clock_.now() + GatewayProcess::kReadyPause,
+                    [this, number, since] { askReady(number, since); });
       });
   exchange->begin(g.process->place().listen);
 }
--- a/src/lab/overhead.cpp
+++ b/src/lab/overhead.cpp
@@ -20,8 +20,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr auto kReadyWithin = std::chrono::seconds(10);
-constexpr auto kReadyAsk = std::chrono::milliseconds(50);
 constexpr double kWarmUpSeconds = 1;
 constexpr double kLateMs = 100;
 
@@ -82,8 +80,7 @@
   boost::system::error_code ec;
   socket.connect(gateway, ec);
   if (ec) return false;
-  asio::write(socket, asio::buffer(std::string("GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")),
-              ec);
+  asio::write(socket, asio::buffer(std::string_view(GatewayProcess::kReadyAsk)), ec);
   std::string answer;
   if (!ec) asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n", ec);
   return answer.rfind("HTTP/1.1 200", 0) == 0;
@@ -120,10 +117,9 @@
   gateway.start(platformSettings(module, scenario), emulator.address().list, seed);
   const auto since = std::chrono::steady_clock::now();
   while (!isReady(gateway.place().listen)) {
-    if (!gateway.running() || std::chrono::steady_clock::now() - since > kReadyWithin)
-      throw std::runtime_error("the gateway was not ready within 10 s; its log: " +
-                               (gateway.place().folder / "log.txt").string());
-    std::this_thread::sleep_for(kReadyAsk);
+    if (!gateway.running() || std::chrono::steady_clock::now() - since > GatewayProcess::kReadyWithin)
+      throw std::runtime_error(gateway.notReady());
+    std::this_thread::sleep_for(GatewayProcess::kReadyPause);
   }
   load.to = {gateway.place().listen};
   load.connections = o.connections;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -191,15 +191,17 @@
 
   LoadReport report(std::string_view row) const {  // its values, in the order of the fields
     LoadReport out;
-    const std::vector<std::string> values = names(row);
-    for (std::size_t i = 0; i < std::min(values.size(), reportFields.size()); ++i) {
-      double value = 0;
-      const char* end = values[i].data() + values[i].size();
-      if (const auto read = std::from_chars(values[i].data(), end, value);
-          read.ec != std::errc{} || read.ptr != end || !(value >= 0 && value <= 1e6))
-        throw BadLine("metrics: '" + values[i] + "' should be a number from 0 to 1e6");
-      if (reportFields[i] == "utilization") out.util = std::clamp(value, 0.0, 1.0);
-      if (reportFields[i] == "recent_ms") out.recent = Duration(static_cast<Duration::rep>(value * 1e6));
+    for (const std::string& field : reportFields) {
+      if (row.empty()) break;
+      const std::size_t end = std::min(row.find(','), row.size());
+      const std::string_view text = row.substr(0, end);
+      row.remove_prefix(std::min(end + 1, row.size()));
+      if (text.empty()) continue;  // not told
+      const double value = number<double>({field, text});
+      if (!(value >= 0 && value <= 1e6))
+        throw BadLine("metrics: '" + std::string(text) + "' should be a number from 0 to 1e6");
+      if (field == "utilization") out.util = std::min(value, 1.0);
+      if (field == "recent_ms") out.recent = Duration(static_cast<Duration::rep>(value * 1e6));
     }
     return out;
   }
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -100,6 +100,12 @@
     return "POST /" + kind + " HTTP/1.1\r\nX-Request-Id: q" + std::to_string(++serial) + "\r\n" + headers +
            "\r\n";
   }
+  // A client that sent a fifth of its body.
+  std::shared_ptr<Raw> begunUpload() {
+    auto c = raw();
+    c->send(headOf("write", "Content-Length: 500000\r\n") + std::string(100'000, 'x'));
+    return c;
+  }
   // The host's connection, once a whole head has come on it.
   std::shared_ptr<Raw> asked(std::size_t number = 0) {
     EXPECT_TRUE(until(
@@ -217,8 +223,7 @@
 
 TEST_F(StreamTest, AHostMayTurnABodyAwayBeforeItHasAll) {
   rawHost();
-  auto c = raw();
-  c->send(headOf("write", "Content-Length: 500000\r\n") + std::string(100'000, 'x'));
+  auto c = begunUpload();
   auto h = asked();
   h->send(answerText(503, "X-Not-Run: 1\r\n", ""));
   ASSERT_TRUE(until([&] { return c->has("503"); }));
@@ -228,8 +233,7 @@
 TEST_F(StreamTest, AClientThatFallsSilentWithinABodyIsTold) {
   waits.clients.slow = std::chrono::milliseconds(100);
   rawHost();
-  auto c = raw();
-  c->send(headOf("write", "Content-Length: 500000\r\n") + std::string(100'000, 'x'));
+  auto c = begunUpload();
   auto h = asked();
   ASSERT_TRUE(until([&] { return c->closed; }));
   EXPECT_TRUE(c->has("408"));
@@ -239,8 +243,7 @@
 
 TEST_F(StreamTest, AClientThatLeavesWithinABodyEndsItsAttempt) {
   rawHost();
-  auto c = raw();
-  c->send(headOf("write", "Content-Length: 500000\r\n") + std::string(100'000, 'x'));
+  auto c = begunUpload();
   auto h = asked();
   c->close();
   EXPECT_TRUE(until([&] { return h->closed && gateway->openRequests() == 0; }));
@@ -249,8 +252,7 @@
 TEST_F(StreamTest, AnUnfinishedBodyEndsItsAttemptAlsoWhereNoneMayBeCancelled) {
   config["settings"]["ceilings"]["cancel"] = false;
   rawHost();
-  auto c = raw();
-  c->send(headOf("write", "Content-Length: 500000\r\n") + std::string(100'000, 'x'));
+  auto c = begunUpload();
   auto h = asked();
   c->close();
   EXPECT_TRUE(until([&] { return h->closed && gateway->openRequests() == 0; }));
