--- a/src/net/load_report.cpp
+++ b/src/net/load_report.cpp
@@ -35,8 +35,9 @@
     if (read.ec != std::errc{} || read.ptr != text.data() + text.size() || !std::isfinite(number) ||
         number < 0)
       continue;
-    if (name == "util" && number <= 1.5) report.util = std::min(number, 1.0), any = true;
-    if (name == "latency_ms" && number <= kLongestMs)
+    if ((name == "util" || name == "utilization") && number <= 1.5)
+      report.util = std::min(number, 1.0), any = true;
+    if ((name == "latency_ms" || name == "recent_ms") && number <= kLongestMs)
       report.recent = ochrehill::Duration(static_cast<ochrehill::Duration::rep>(number * 1e6)), any = true;
   }
   return any ? std::optional(report) : std::nullopt;
--- a/src/net/load_report.hpp
+++ b/src/net/load_report.hpp
@@ -1,4 +1,4 @@
-// The load report that a host puts on an answer: X-Load: TEXT latency_ms=14.5, util=0.62
+// The load report that a host puts on an answer: X-Load: TEXT recent_ms=14.5, utilization=0.62
 #pragma once
 
 #include <optional>
@@ -8,8 +8,9 @@
 
 namespace cairnjunction {
 
-// Nothing where no field of ours can be read. A field that is no number, or out of all bounds, counts as not
-// told; fields that we don't know are passed over.
+// Reads recent_ms or latency_ms, and utilization or util: the settings' report.fields use either. Nothing
+// where no field of ours can be read. A field that is no number, or out of all bounds, counts as not told;
+// fields that we don't know are passed over.
 std::optional<ochrehill::LoadReport> readLoadReport(std::string_view value);
 
 }  // namespace cairnjunction
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -144,6 +144,11 @@
   ASSERT_TRUE(both);
   EXPECT_DOUBLE_EQ(both->util, 0.62);
   EXPECT_EQ(both->recent, std::chrono::microseconds(14500));
+  // Danger: under the settings' own names none was read, and no gateway knew what all of them did to a host.
+  const auto named = readLoadReport("TEXT recent_ms=14.5, utilization=0.62");
+  ASSERT_TRUE(named);
+  EXPECT_DOUBLE_EQ(named->util, both->util);
+  EXPECT_EQ(named->recent, both->recent);
   const auto one = readLoadReport(" TEXT queue=2,util=1.2 ");
   ASSERT_TRUE(one);
   EXPECT_EQ(one->util, 1);  // busier than it can be: taken for busy
