--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -6,6 +6,33 @@
 
 struct Balancer::Impl : Parts {
   using Parts::Parts;
+  Time armed{};
+  int loggedCut = 0;
+
+  void arm() {
+    const Time want = std::max(std::min(nextSweep, attempts.nextGuard()), c.now + Duration(1));
+    if (armed > c.now && armed <= want) return;
+    armed = want;
+    c.emit(ActionKind::wake, 0, 0, kNone, want);
+  }
+
+  template <class Handler>
+  void event(Time at, Handler handler) {
+    c.now = at;
+    handler();
+    attempts.passTurns();
+    subscription.ask();
+    logCut();
+    arm();
+  }
+
+  void logCut() {  // once a fifth of its range is crossed
+    const int step = static_cast<int>(cutoff.cut() / 20);
+    if (step == loggedCut || !c.mayLog()) return;
+    loggedCut = step;
+    c.log("cutoff " + std::to_string(static_cast<int>(cutoff.cut())) + " busy " +
+          std::to_string(cutoff.busy()));
+  }
 };
 
 Balancer::Balancer(Settings settings, Time now) {
@@ -36,7 +63,9 @@
 }
 void Balancer::onReport(Time now, HostId host, const LoadReport& report) {
   impl_->event(now, [&] {
-    if (host < impl_->fleet.size()) impl_->cold.onReport(impl_->fleet.at(host), report);
+    if (host >= impl_->fleet.size()) return;
+    impl_->cold.onReport(impl_->fleet.at(host), report);
+    impl_->health.onReport(impl_->fleet.at(host), report);
   });
 }
 void Balancer::onClientGone(Time now, RequestId request) {
--- a/src/decide/attempts.cpp
+++ b/src/decide/attempts.cpp
@@ -39,12 +39,10 @@
   }
 }
 
-// Until when an answer earns in full. Clients give single tries the same time, and a later one what is left
-// of their total wait. A try whose time is not the usual one tells how much was spent before; that no longer
-// earns. Danger: by a median, once later tries are the more, first ones look unusual, are refused as late and
-// asked again, and the jam keeps itself up. But the times of first tries lie in one place and what is left of
-// later ones scatters, so the usual time is where most lie. It could do harm where clients give many
-// different times.
+// Until when an answer earns in full. Clients give first tries the same time and later ones what is left of
+// it, which tells how much was spent before and no longer earns. Danger: by a median, once later tries are
+// the more, first ones look late, are refused and asked again, and the jam keeps itself up. But times of
+// first tries lie in one place, others scatter. It could do harm where clients give many different times.
 Time Attempts::useful(Open& r, const Request& q) {
   ClassState& c = c_.classes[r.cls];
   const Duration apart = scaled(c.set.giveUp, kLeftApart);
@@ -57,8 +55,9 @@
 
 void Attempts::dispatch(Open& r) {  // its first attempt
   const ClassState& c = c_.classes[r.cls];
-  if (!send(r)) finish(r);
-  else if (c_.set.parallelTries && !r.coming && c.set.effect != Effect::fragile && c.norm > 0)
+  if (!send(r)) return finish(r);
+  if (cutoff_.evidence() < 1) guard(r, r.aimAt, Due::late);
+  if (c_.set.parallelTries && !r.coming && c.set.effect != Effect::fragile && c.norm > 0)
     guard(r, c_.now + scaled(usualTime(r), kCopyNorms), Due::copy);
 }
 
@@ -82,17 +81,6 @@
   return true;
 }
 
-bool Attempts::resend(Open& r) {
-  if (retryTokens_ < 1 || !send(r)) return false;
-  retryTokens_ -= 1;
-  return true;
-}
-
-void Attempts::hold(const Open& r, Host& h) {  // the host has work of it from now on
-  h.sent.push_back(requests_.reference(r));
-  fleet_.hold(h, 1);
-}
-
 void Attempts::onResult(const AttemptResult& a) {
   Open* found = requests_.find(a.request);
   if (!found || a.attempt >= found->count || !found->tries[a.attempt].out) return;
@@ -145,11 +133,6 @@
   cancelOut(*r, attempt);
 }
 
-void Attempts::onClientGone(RequestId id) {
-  Open* r = requests_.find(id);
-  if (r && !r->ended) end(*r);
-}
-
 // --- The end ----------------------------------------------------------------------------------------------
 
 void Attempts::finish(
@@ -173,12 +156,6 @@
   c_.emit(ActionKind::refuse, r.id, 0, kNone, after);
 }
 
-void Attempts::end(Open& r) {
-  r.ended = true;
-  cancelOut(r);
-  release(r);
-}
-
 void Attempts::cancelOut(Open& r, std::uint32_t except) {  // work that can no longer earn
   if (!c_.set.cancel) return;
   for (std::uint32_t i = 0; i < r.count; ++i)
@@ -203,11 +180,8 @@
 
 // --- Turns ------------------------------------------------------------------------------------------------
 
-bool Attempts::inTurn(const Open& r) const { return r.hasKey && c_.classes[r.cls].set.inTurn; }
-
-// Danger: two requests of one key at a host at once, or out of order. A request stays in its key's queue
-// until it is over and all its attempts are settled; only the first is sent, and after an attempt whose
-// end is not sure the key rests.
+// Danger: two requests of one key at a host at once, or out of order. A request stays in its key's queue till
+// all its attempts are settled; only the first is sent, and after an end that is not sure the key rests.
 void Attempts::passTurns() {
   for (std::size_t i = 0; i < turnsDue_.size(); ++i) {  // what ends here passes the turn on once more
     const Turn* turn = turns_.waiting(turnsDue_[i]);
@@ -228,15 +202,6 @@
   turnsDue_.push_back(r.key);
 }
 
-Duration Attempts::usualTime(const Open& r) const {
-  return scaled(std::chrono::seconds(1), c_.classes[r.cls].norm * r.cost);
-}
-
-// Danger: one that waits for its turn past its use holds up its key and is a late failure in the end.
-bool Attempts::hopeless(const Open& r, std::size_t ahead) const {
-  return c_.now + static_cast<Duration::rep>(ahead + 1) * usualTime(r) >= lastUse(r);
-}
-
 // Latest time at which an answer still earns and still reaches the client.
 Time Attempts::lastUse(const Open& r) const {
   const Time end = r.deadline - 2 * c_.set.step;
@@ -245,23 +210,19 @@
 
 // --- Time -------------------------------------------------------------------------------------------------
 
-void Attempts::guard(const Open& r, Time at, Due due) {
-  guards_.push({at, requests_.slot(r), r.generation, due});
-}
-
 void Attempts::onWake() {
   while (!guards_.empty() && guards_.top().at <= c_.now) {
     const Guard g = guards_.top();
     guards_.pop();
     Open* r = requests_.find(OpenRequests::Reference{g.slot, g.generation});
     if (!r || r->ended || r->bound) continue;
-    // Danger: an outcome that never comes would leave the client without an answer. And a slow host that
-    // this gateway cannot know yet eats the whole aim: in calm what may be repeated runs once more
-    // elsewhere.
+    // Danger: an outcome that never comes would leave the client without an answer. And a slow host that is
+    // not known yet eats the whole aim: in calm what may be repeated runs once more elsewhere.
     if (g.due == Due::turn && inTurn(*r) && r->count == 0) {
       turnsDue_.push_back(r->key);
       if (hopeless(*r, 0)) finish(*r);
     } else if (g.due == Due::answer && !r->coming) finish(*r);
+    else if (g.due == Due::late && r->out > 0 && cutoff_.busy() > 0) cutoff_.met(1);
     else if (g.due == Due::copy && r->out == 1 && cutoff_.cut() <= 1) resend(*r);
   }
 }
--- a/src/decide/attempts.hpp
+++ b/src/decide/attempts.hpp
@@ -25,7 +25,10 @@
   void onWhole(RequestId id);
   void onAnswerStarted(RequestId id, std::uint32_t attempt);
   void onResult(const AttemptResult& a);
-  void onClientGone(RequestId id);
+  void onClientGone(RequestId id) {
+    Open* r = requests_.find(id);
+    if (r && !r->ended) end(*r);
+  }
   void onWake();
   void sweep() { turns_.forgetIdle(c_.now); }
   void passTurns();  // after every event
@@ -34,18 +37,34 @@
  private:
   Time useful(Open& r, const Request& q);
   Time lastUse(const Open& r) const;
-  Duration usualTime(const Open& r) const;
-  bool hopeless(const Open& r, std::size_t ahead) const;
-  bool inTurn(const Open& r) const;
-  void guard(const Open& r, Time at, Due due);
+  Duration usualTime(const Open& r) const {
+    return scaled(std::chrono::seconds(1), c_.classes[r.cls].norm * r.cost);
+  }
+  // Danger: one that waits for its turn past its use holds up its key and is a late failure in the end.
+  bool hopeless(const Open& r, std::size_t ahead) const {
+    return c_.now + static_cast<Duration::rep>(ahead + 1) * usualTime(r) >= lastUse(r);
+  }
+  bool inTurn(const Open& r) const { return r.hasKey && c_.classes[r.cls].set.inTurn; }
+  void guard(const Open& r, Time at, Due due) { guards_.push({at, requests_.slot(r), r.generation, due}); }
   void enqueue(Open& r);
   void dispatch(Open& r);
   bool send(Open& r);
-  bool resend(Open& r);
-  void hold(const Open& r, Host& h);
+  bool resend(Open& r) {
+    if (retryTokens_ < 1 || !send(r)) return false;
+    retryTokens_ -= 1;
+    return true;
+  }
+  void hold(const Open& r, Host& h) {  // the host has work of it from now on
+    h.sent.push_back(requests_.reference(r));
+    fleet_.hold(h, 1);
+  }
   void finish(Open& r);
   void refuse(const Open& r);
-  void end(Open& r);
+  void end(Open& r) {
+    r.ended = true;
+    cancelOut(r);
+    release(r);
+  }
   void cancelOut(Open& r, std::uint32_t except = kNone);
   void release(Open& r);
 
--- a/src/decide/cold_start.cpp
+++ b/src/decide/cold_start.cpp
@@ -50,8 +50,8 @@
 }
 
 // Since our last answer from it the host was about as busy as it says, for all gateways, and served us one.
-// Answers over busy time is our part of what it can do. Summed over a kind's hosts, so that no single one can
-// lie much.
+// Our part of what it can do is answers over busy time, summed over a kind, so that no single host can lie
+// much.
 void ColdStart::onReport(Host& h, const LoadReport& report) {
   Kind& kind = fleet_.kindOf(h);
   if (report.recent > Duration{}) {
--- a/src/decide/cutoff.cpp
+++ b/src/decide/cutoff.cpp
@@ -5,8 +5,6 @@
 namespace ochrehill {
 namespace {
 
-constexpr double kFastGain = 0.2;    // per sweep: rates over about half a second
-constexpr double kSteadyRate = 80;   // requests a second that make half a second steady enough
 constexpr double kSlowGain = 0.008;  // per sweep: the traffic mix is remembered about ten seconds
 // In-flight overload. By Little's law the mean time in flight is in-flight / rate, so the pool carries
 // `rate x aim` at most if answers are to be in time.
@@ -14,14 +12,9 @@
 constexpr double kInflightThreshold = 0.5;  // share of that maximum below which nothing is cut
 constexpr double kHeldGain = 0.05;          // per arrival: in-flight over the last twenty arrivals
 constexpr double kHeldSweep = 0.5;          // per sweep
-// Danger: what one of many gateways holds is a small count that swings by its square root, and the cubic
-// makes refusals of the swing.
-constexpr double kThinRange = 0.5;   // full cut later than with much evidence,
-constexpr double kThinEarly = 0.1;   // its beginning earlier
-constexpr double kFirstPerHost = 6;  // maximum assumed for a host before anything was measured
-// Danger: after a burst that crowds the hosts for long, nearly all is refused, hosts stand idle, and a
-// maximum that follows the few answers never grows back. So much may be held a host, by all gateways: a few
-// cores' work.
+constexpr double kFirstPerHost = 6;         // maximum assumed for a host before anything was measured
+// Danger: a maximum that follows the few answers after a burst never grows back, and hosts stand idle. So
+// much may be held a host, by all gateways: a few cores' work.
 constexpr double kFloorPerHost = 4;
 // Danger: hosts once driven over stay slow long after, and "full" is the first that one hears of it.
 constexpr double kFullEase = 4;        // times the share of "full" answers is taken off the maximum,
@@ -29,6 +22,10 @@
 // Danger: when all hosts slow down together, a maximum that follows the sinking rate idles them. What a host
 // held while nothing was refused stays allowed.
 constexpr double kCalmFade = 0.001;  // per sweep: forgotten in some minutes
+// Of a trickle, what hosts say of all gateways' traffic tells more: how busy those are that it went to. And
+// room, in multiples of what is held, shrinks while they are busier than the aim and grows while less.
+constexpr double kBusyAim = 0.7, kRoomGain = 10, kRoomBack = 3;  // the gains: per second
+constexpr double kRoomLeast = 1.05, kRoomMost = 2;               // nearly all refused; none
 // Error overload: share of failed attempts. A few per cent is everyday noise.
 constexpr double kErrorThreshold = 0.1;
 constexpr double kErrorMax = 0.7;
@@ -81,11 +78,6 @@
   inTime_ += weight * (c_.now <= r.aimAt ? 1 : c.set.lateShare);
 }
 
-// Danger: a gateway that sees a trickle learns noise from half a second. Gain per sweep: over half a
-// second, and at least over some twenty requests.
-double Cutoff::fastGain() const { return kFastGain * evidence(); }
-double Cutoff::evidence() const { return std::clamp(askedRate_ / kSteadyRate, 0.05, 1.0); }
-
 double Cutoff::inflightMax() const {
   const double count = std::max(static_cast<double>(fleet_.listed().size()), 1.0);
   const double ease = 1 - std::min(kFullEase * fullSeen_ / outcomeSeen_, kFullEaseMost);
@@ -96,9 +88,9 @@
 }
 
 void Cutoff::renew() {
-  const double thin = 1 - evidence();
-  const double load = (smoothHeld_ / inflightMax() - kInflightThreshold + kThinEarly * thin) /
-                      (1 - kInflightThreshold + kThinRange * thin);
+  const double told = std::max(1 / room_, busy_), own = smoothHeld_ / inflightMax();
+  const double held = busy_ > 0 ? told + evidence() * (own - told) : own;
+  const double load = (held - kInflightThreshold) / (1 - kInflightThreshold);
   const double x = std::clamp(std::max(load, errorOverload_), 0.0, 1.0);
   cut_ = 100 * x * x * x;
 }
@@ -108,6 +100,12 @@
   ++sweeps_;
   askedRate_ += std::max(kSlowGain, 1 / sweeps_) * (asked_ / toSeconds(kSweep) - askedRate_);
   inTime_ = asked_ = 0;
+  const double had = std::exchange(capacity_, fleet_.capacity());
+  if (had > capacity_ && capacity_ > 0) busy_ = std::min(busy_ * had / capacity_, 1.0);
+  if (busy_ > 0)
+    room_ = std::clamp(
+        room_ * std::exp((busy_ > kBusyAim ? kRoomGain : kRoomBack) * toSeconds(kSweep) * (kBusyAim - busy_)),
+        kRoomLeast, kRoomMost);
   calmHeld_ *= 1 - kCalmFade;
   if (cut_ <= 1 && !fleet_.listed().empty()) calmHeld_ = std::max(calmHeld_, fleet_.perListed(smoothHeld_));
   fullSeen_ *= 1 - kFastGain;
@@ -123,12 +121,6 @@
   // Danger: with few arrivals a past burst would linger.
   smoothHeld_ += (fleet_.held() - smoothHeld_) * kHeldSweep * evidence() * evidence();
   renew();
-  const int step = static_cast<int>(cut_ / 20);
-  if (step != loggedCut_ && c_.mayLog()) {
-    loggedCut_ = step;
-    c_.log("cutoff " + std::to_string(static_cast<int>(cut_)) + " error overload " +
-           std::to_string(errorOverload_));
-  }
 }
 
 }  // namespace ochrehill
--- a/src/decide/cutoff.hpp
+++ b/src/decide/cutoff.hpp
@@ -12,20 +12,21 @@
 
   // Rank within the recent traffic: a cutoff of c refuses about c per cent.
   double score(const Open& r, std::uint32_t tenant);
-  void arrived(const Open& r);   // after its score: counts it and renews the cutoff
-  void answered(const Open& r);  // served, at this moment
-  void full(double weight) {
-    fullSeen_ += weight;
-  }                                      // an attempt was turned away by a host that is trusted so far
-  void outcome() { outcomeSeen_ += 1; }  // of an attempt, whatever it was
+  void arrived(const Open& r);                       // after its score: counts it and renews the cutoff
+  void answered(const Open& r);                      // served, at this moment
+  void full(double weight) { fullSeen_ += weight; }  // an attempt was turned away by a host trusted so far
+  void outcome() { outcomeSeen_ += 1; }              // of an attempt, whatever it was
+  // An attempt met a host that was so busy; 1: it was not answered in time. Under 0: not told.
+  void met(double busy) { busy_ += busy < 0 ? 0 : kMetGain * (busy - busy_); }
   void sweep();
 
   double cut() const { return cut_; }
+  double busy() const { return busy_; }
   double usual() const { return norm_; }           // seconds an answer takes, over all classes; 0: not known
   double askedRate() const { return askedRate_; }  // requests a second
-  // 0 to 1: how much half a second of our traffic tells. Gains per sweep shrink with it.
-  double evidence() const;
-  double fastGain() const;
+  // 0 to 1: how much half a second of our traffic tells. Of a trickle it is noise, and gains shrink with it.
+  double evidence() const { return std::clamp(askedRate_ / kSteadyRate, 0.05, 1.0); }
+  double fastGain() const { return kFastGain * evidence(); }
 
  private:
   double inflightMax() const;
@@ -42,8 +43,10 @@
   double fullSeen_ = 0, outcomeSeen_;          // decayed counts
   double calmHeld_ = 0;                        // in-flight a host while nothing is refused
   double meanAim_ = 0, meanWork_ = 0;          // seconds over the recent arrivals: aim, usual time
-  double norm_ = 0;
-  int loggedCut_ = 0;
+  double norm_ = 0, room_ = 2, busy_ = 0, capacity_ = 0;
+  static constexpr double kMetGain = 0.15;   // per outcome: over the last seven
+  static constexpr double kFastGain = 0.2;   // per sweep: rates over about half a second
+  static constexpr double kSteadyRate = 80;  // requests a second that make half a second steady enough
 };
 
 }  // namespace ochrehill
--- a/src/decide/fleet.cpp
+++ b/src/decide/fleet.cpp
@@ -91,6 +91,7 @@
   h.silent = false;
   h.lines = h.dialFails = 0;
   h.share = h.crowd = 1;
+  h.busy = -1;
   h.pace = kindOf(h).pace / std::sqrt(warmth(h));
   // Danger: a first request from every one of many gateways at once is a burst; a drawn phase spreads them.
   h.coldTokens = c_.drawUnit();
@@ -114,9 +115,8 @@
   reorder();
 }
 
-// Own hosts first. Hosts lie on a ring, in an order of its own for every round of gateways, and the
-// gateways of a round start evenly around it: hosts that come or go move only their neighbours. Keys are
-// kept warm by all.
+// Own hosts first: on a ring, ordered anew for every round of gateways, which start evenly around it; hosts
+// that come or go move only their neighbours. Keys are kept warm by all.
 void Fleet::reorder() {
   const double count = static_cast<double>(listed_.size());
   const double own = c_.set.warmKeys ? count : kWidthLeast + kWidthParts * count / c_.set.groupSize;
@@ -137,16 +137,12 @@
                                   ring_.begin());
 }
 
-void Fleet::hold(Host& h, int more) {
-  h.inflight += more;
-  if (h.counts) held_ += more;
-}
-
 void Fleet::recount() {
   held_ = 0;
+  capacity_ = 0;
   for (Host& h : hosts_) h.counts = false;
   for (HostId id : listed_)
-    if (Host& h = hosts_[id]; !sick(h)) h.counts = true, held_ += h.inflight;
+    if (Host& h = hosts_[id]; !sick(h)) h.counts = true, held_ += h.inflight, capacity_ += warmth(h);
   coldOwn_.clear();
   for (std::size_t i = 0; i < width_; ++i)
     if (isCold(hosts_[order_[i]])) coldOwn_.push_back(order_[i]);
--- a/src/decide/fleet.hpp
+++ b/src/decide/fleet.hpp
@@ -28,9 +28,13 @@
   const std::vector<HostId>& ring() const { return ring_; }        // with warm keys: listed, by hash
   std::size_t onRing(std::uint64_t place) const;                   // where the first one at or after it is
 
-  void hold(Host& h, int more);       // it has so much more work of ours
+  void hold(Host& h, int more) {  // it has so much more work of ours
+    h.inflight += more;
+    if (h.counts) held_ += more;
+  }
   void recount();                     // after hosts fell sick or got well
   int held() const { return held_; }  // by listed hosts that are well: one bad host must not lift the cut
+  double capacity() const { return capacity_; }  // of the same hosts, in warm ones
   double perListed(double sum) const {
     return sum / static_cast<double>(std::max<std::size_t>(listed_.size(), 1));
   }
@@ -54,7 +58,7 @@
   int held_ = 0;
   std::vector<Kind> kinds_;
   TakenOutHosts takenOut_;
-  double medianCrowd_ = 1;
+  double medianCrowd_ = 1, capacity_ = 0;
 };
 
 }  // namespace ochrehill
--- a/src/decide/health.cpp
+++ b/src/decide/health.cpp
@@ -8,6 +8,7 @@
 
 constexpr double kPaceFade = 0.05;   // per sweep without requests: an old pace fades in two seconds at least
 constexpr double kPaceGain = 0.1;    // per answer: a host's pace, over its last ten answers
+constexpr double kToldGain = 0.5;    // per report, where the own traffic tells nothing
 constexpr double kFailGain = 0.12;   // per outcome: five failures on end make one half
 constexpr double kFailEject = 0.45;  // failure share that ejects,
 constexpr double kFailPeers = 2.5;   // if it is also this many times that of the better quarter of the pool
@@ -44,6 +45,7 @@
       kind.pace += kNormGain * (sample - kind.pace);
       c.norm += kNormGain * (usual - c.norm);
       cutoff_.answered(r);
+      if (c_.now <= r.aimAt) cutoff_.met(h.busy);
       break;
     }
     case Outcome::full:  // Danger: one that stays full, or drains unannounced, holds little: it looks idle.
@@ -77,7 +79,10 @@
   h.outcomes += 1;
   cutoff_.outcome();
   if (failed) h.errors += 1;
-  if (a.outcome != Outcome::full) h.fails += kFailGain * ((failed ? 1.0 : 0.0) - h.fails);
+  // Danger: from a trickle five failures on end take half a minute, at each of many gateways.
+  if (a.outcome != Outcome::full)
+    h.fails +=
+        std::max(kFailGain, (1 - cutoff_.evidence()) / (1 + h.outcomes)) * ((failed ? 1.0 : 0.0) - h.fails);
   if (a.outcome != Outcome::connectFailed) {
     const double lost = failed || a.outcome == Outcome::full ? 1 : 0;
     h.classFails[r.cls] += kClassGain * (lost - h.classFails[r.cls]);
@@ -92,6 +97,16 @@
   }
 }
 
+// Danger: where many gateways see a trickle each, all send to a slow host till each has learned of it alone.
+// What the host says was seen by all of them; it stands in for what we can't know.
+void HostHealth::onReport(Host& h, const LoadReport& report) {
+  if (report.util >= 0) h.busy = report.util;
+  h.recent = toSeconds(report.recent);
+  if (h.recent > 0 && usualRecent_ > 0)
+    h.pace +=
+        kToldGain * (1 - cutoff_.evidence()) * (std::clamp(h.recent / usualRecent_, 0.2, 20.0) - h.pace);
+}
+
 double HostHealth::trust(const Host& h, std::uint32_t cls) const {
   const double well = 1 - std::max(h.classFails[cls] - kClassOver * c_.classes[cls].fails, 0.0);
   return std::max(well * well * well, kClassLeast);
@@ -99,19 +114,22 @@
 
 void HostHealth::eject(Host& h, const char* why) {
   h.health = Health::ejected;
-  h.until = c_.now + scaled(kEjectFirst * (1 << h.ejections), 0.75 + 0.5 * c_.drawUnit());
+  h.until = c_.now + scaled(kEjectFirst * (1 << h.ejections),
+                            (0.75 + 0.5 * c_.drawUnit()) / std::max(cutoff_.evidence(), 0.2));
   h.ejections = std::min(h.ejections + 1, kEjectDoublings);
   if (c_.mayLog()) c_.log("host ejected " + h.entry.address + " (" + why + ")");
 }
 
 void HostHealth::sweep() {
-  std::vector<double> paces, fails;
+  std::vector<double> paces, fails, recents;
   std::size_t away = 0;
   for (HostId id : fleet_.listed()) {
     Host& h = fleet_.at(id);
     // Danger: a pace learned in trouble keeps requests away, and without them it would never change.
-    if (h.served <= 0 && h.inflight == 0)
+    if (h.served <= 0 && h.inflight == 0) {
       h.pace += kPaceFade * cutoff_.evidence() * (fleet_.kindOf(h).pace - h.pace);
+      if (h.busy >= 0) h.busy += kPaceFade * (cutoff_.busy() - h.busy);
+    }
     h.outcomes *= 1 - cutoff_.fastGain();
     h.errors *= 1 - cutoff_.fastGain();
     if (h.health == Health::ejected && c_.now >= h.until)
@@ -119,14 +137,17 @@
     if (h.health != Health::good) ++away;
     paces.push_back(h.pace);
     fails.push_back(h.fails);
+    if (h.recent > 0) recents.push_back(h.recent);
     // Danger: a paused or lost host gathers requests until they time out.
     while (!h.sent.empty() && !requests_.outTry(h.sent.front(), id)) h.sent.pop_front();
     const Duration limit =
         std::max(kSilentLeast, scaled(seconds(1), kSilentNorms * cutoff_.usual() * std::max(1.0, h.pace)));
     h.silent =
         !h.sent.empty() && c_.now - std::max(h.heard, requests_.outTry(h.sent.front(), id)->at) > limit;
+    if (h.silent && h.busy >= 0) h.busy = 1;
   }
   medianPace_ = quantile(paces, 0.5, 1);
+  usualRecent_ = quantile(recents, 0.5, 0);
   const double peerFails = quantile(fails, 0.25, 0);  // a quarter of the peers well: the others are outliers
   for (HostId id : fleet_.listed()) {  // judged against the peers, so that a pool-wide trouble ejects nobody
     Host& h = fleet_.at(id);
--- a/src/decide/health.hpp
+++ b/src/decide/health.hpp
@@ -12,6 +12,7 @@
       : c_(context), fleet_(fleet), cutoff_(cutoff), requests_(requests) {}
 
   void judge(Host& h, const Open& r, const AttemptResult& a);
+  void onReport(Host& h, const LoadReport& report);
   void sweep();
 
   // Part of its draws that a host keeps for a class: less as it fails that class more than its peers do.
@@ -25,7 +26,7 @@
   Fleet& fleet_;
   Cutoff& cutoff_;
   const OpenRequests& requests_;
-  double medianPace_ = 1;
+  double medianPace_ = 1, usualRecent_ = 0;
 };
 
 }  // namespace ochrehill
--- a/src/decide/parts.hpp
+++ b/src/decide/parts.hpp
@@ -1,8 +1,8 @@
 // The decision module, put together. Interface (types, events, actions): include/ochrehill/ochrehill.hpp.
 //
-// A request is scored 1 to 100 by worth, refused unsent when it scores below the cutoff, and otherwise sent
-// to a random ready host that holds few of our requests, else to the lighter of two draws. Each part
-// knows only those before it. Plain state types and pure helpers: state.hpp.
+// A request is scored 1 to 100 by worth, refused unsent below the cutoff, else sent to a random ready host
+// that holds few of ours, or the lighter of two draws. Each part knows only those before it. Plain state:
+// state.hpp.
 #pragma once
 
 #include "decide/attempts.hpp"
@@ -21,7 +21,7 @@
   ColdStart cold{c, fleet, cutoff};
   Pick pick{c, fleet, cutoff, health, connections, cold};
   Attempts attempts{c, requests, fleet, cutoff, health, connections, cold, pick};
-  Time nextSweep, armed{};
+  Time nextSweep;
 
   Parts(Settings s, Time t) : c(std::move(s), t), nextSweep(t + kSweep) {}
 
@@ -36,22 +36,6 @@
     attempts.sweep();
     cutoff.sweep();
   }
-
-  void arm() {
-    const Time want = std::max(std::min(nextSweep, attempts.nextGuard()), c.now + Duration(1));
-    if (armed > c.now && armed <= want) return;
-    armed = want;
-    c.emit(ActionKind::wake, 0, 0, kNone, want);
-  }
-
-  template <class Handler>
-  void event(Time at, Handler handler) {
-    c.now = at;
-    handler();
-    attempts.passTurns();
-    subscription.ask();
-    arm();
-  }
 };
 
 }  // namespace ochrehill
--- a/src/decide/pick.cpp
+++ b/src/decide/pick.cpp
@@ -1,30 +1,26 @@
 #include "decide/pick.hpp"
 
+#include <cmath>
+#include <limits>
+
 namespace ochrehill {
 namespace {
 
-// Danger: with more requests than hosts each holds several, a fixed limit of one counts none as idle, and two
-// blind draws decide: some hosts queue while cores of others stand free. So few is what lies under the mean,
-// whatever made it uneven: slow answers, a host back from a pause, cancels. It could do harm where a host
-// holds little because it fails at once (trust and ejection are to keep that one out), and it means nothing
-// where each of many gateways holds less than one a host: there it is one, as before.
+// Danger: with more requests than hosts each holds several, a limit of one counts none as idle, and two blind
+// draws decide: some hosts queue while cores of others stand free. So few is what lies under the mean. It
+// could do harm where a host holds little because it fails at once; trust and ejection keep that one out.
 constexpr double kFewOfMean = 0.75;
 constexpr double kLocalLean = 2;            // own zone in the draw: yields to a host 1.4 times as fast
 constexpr std::size_t kWarmCandidates = 3;  // hosts that share the warmth of one key at least,
 constexpr std::uint32_t kHerd = 8;          // and with so many gateways they share its requests too
 
-// On a large fleet the idle search is sampled: so many of the gateway's own hosts are looked at, more while
-// none of them is idle, and all only if none may be used. A key's hosts are sought among so many that follow
-// it on the ring of all hosts.
+// On a large fleet the idle search is sampled: so many of its own hosts are looked at, more while none is
+// idle, all only if none may be used. A key's hosts are sought among so many that follow it on the ring.
 constexpr std::size_t kScan = 32;
 constexpr std::size_t kLooks = 10, kMostLooks = 48, kColdLooks = 4;
 
 }  // namespace
 
-bool Pick::idle(const Host& h) const {  // holds few of ours; a fast host may hold more
-  return h.inflight < few_ * health_.medianPace() / std::max(h.pace, 0.05);
-}
-
 bool Pick::allowed(const Open& r, const Host& h) const {  // the rules on placement and repeats
   const ClassSettings& c = c_.classes[r.cls].set;
   if (!h.open[r.cls]) return false;
@@ -78,6 +74,12 @@
   }
 }
 
+double Pick::weight(const Host& h, const Open& r) const {
+  const double thin = 1 - cutoff_.evidence(), free = std::clamp(1.05 - h.busy, 0.05, 1.0);
+  return (h.local ? kLocalLean : 1) * h.share * health_.trust(h, r.cls) / std::max(h.pace * h.pace, 0.01) *
+         (1 - thin + thin * free * free);
+}
+
 HostId Pick::host(const Open& r) {
   few_ = std::max(kFewOfMean * fleet_.perListed(fleet_.held()), 1.0);
   gather(r, false);
@@ -89,30 +91,34 @@
     if (const Host& h = fleet_.at(id);
         r.count == 0 && fleet_.isCold(h) && idle(h) && c_.drawUnit() > cutoff_.evidence())
       return id;
-  if (c_.set.warmKeys && r.hasKey) {
+  const bool herd = c_.set.groupSize >= kHerd, keyed = c_.set.warmKeys && r.hasKey;
+  if (keyed && !herd) {
     // Warm keys: the first hosts in the key's rendezvous order, the same at all gateways.
     const std::size_t most = std::min(kWarmCandidates, ready_.size());
     const auto rank = [&](HostId id) { return mix(fleet_.at(id).hash ^ r.key); };
     std::partial_sort(ready_.begin(), ready_.begin() + static_cast<std::ptrdiff_t>(most), ready_.end(),
                       [&](HostId a, HostId b) { return rank(a) > rank(b); });
     ready_.resize(most);
-    // Danger: to each of many gateways every host looks idle, and all send a key to the same one.
-    for (std::size_t i = 0; i < most && c_.set.groupSize < kHerd; ++i) {
-      const Host& h = fleet_.at(ready_[i]);
-      if (idle(h) && c_.drawUnit() < h.share) return ready_[i];
-    }
+    for (HostId id : ready_)
+      if (idle(fleet_.at(id)) && c_.drawUnit() < fleet_.at(id).share) return id;
   }
-  // Danger: beside many gateways our own in-flight says little, every host looks idle, and the own zone is
-  // overrun; so the draw leans towards hosts that answer fast, and towards the own zone only lightly.
-  double sum = 0;
+  // Danger: beside many gateways every host looks idle, all send a key to the same one and the own zone is
+  // overrun. So the draw leans towards hosts that answer fast and say they have cores free, and a key draws
+  // with one of a few sets of numbers, the same at all gateways: it keeps to few hosts (weighted rendezvous).
+  const std::uint64_t set = keyed && herd ? mix(r.key + c_.drawBelow(kWarmCandidates)) : 0;
+  double sum = 0, least = std::numeric_limits<double>::infinity();
   HostId chosen = kNone;
   for (HostId id : ready_) {
     const Host& h = fleet_.at(id);
     if (!idle(h)) continue;
-    const double weight =
-        (h.local ? kLocalLean : 1) * h.share * health_.trust(h, r.cls) / std::max(h.pace * h.pace, 0.01);
-    sum += weight;
-    if (c_.drawUnit() * sum < weight) chosen = id;
+    const double part = weight(h, r);
+    if (keyed && herd) {
+      const double at = -std::log(static_cast<double>((mix(h.hash ^ set) >> 11) + 1) * 0x1.0p-53) / part;
+      if (at < least) least = at, chosen = id;
+    } else {
+      sum += part;
+      if (c_.drawUnit() * sum < part) chosen = id;
+    }
   }
   if (chosen != kNone) return chosen;
   const HostId a = ready_[c_.drawBelow(ready_.size())], b = ready_[c_.drawBelow(ready_.size())];
--- a/src/decide/pick.hpp
+++ b/src/decide/pick.hpp
@@ -22,8 +22,11 @@
   HostId host(const Open& r);  // kNone: there is none that the rules allow
 
  private:
-  bool idle(const Host& h) const;
+  bool idle(const Host& h) const {  // holds few of ours; a fast host may hold more
+    return h.inflight < few_ * health_.medianPace() / std::max(h.pace, 0.05);
+  }
   double load(const Host& h) const { return (h.inflight + 1) * h.pace; }
+  double weight(const Host& h, const Open& r) const;  // in the draw
   bool allowed(const Open& r, const Host& h) const;
   void gather(const Open& r, bool relaxed);
   void consider(const Open& r, HostId id, bool relaxed);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -76,6 +76,8 @@
   int dialFails = 0;              // connections on end that could not be opened
   double coldTokens = 0;
   Time coldAt{};
+  double recent = 0;  // seconds an answer took lately without waiting, as last told; 0: not told
+  double busy = -1;   // 0 to 1, as last told by a load report, of all gateways; -1: not told
   Time reportedAt{};  // our last answer with a load report, or when we first knew of this process
   std::deque<std::pair<std::uint32_t, std::uint32_t>> sent;  // (slot, generation) in order of sending
   std::uint64_t lookedAt = 0;                                // number of the last pick that considered it
@@ -371,7 +373,12 @@
   std::unordered_map<std::uint64_t, Turn> turns_;
 };
 
-enum class Due { answer, copy, turn };  // last moment for an answer; a second copy; a look at the key's turn
+enum class Due {
+  answer,
+  copy,
+  turn,
+  late
+};  // last moment for an answer; a second copy; a look at the key's turn
 
 struct Guard {
   Time at;
