--- a/src/decide/cold_start.cpp
+++ b/src/decide/cold_start.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 // Load of a cold host, as a part of the multiple that fells it: by load reports, by what warm ones carried.
-constexpr double kLearnedPart = 0.33, kProvenPart = 0.45;
-constexpr double kChance = 3.5;         // and the multiple must lie so many times the scatter above it
+constexpr double kLearnedPart = 0.30, kProvenPart = 0.45;
+constexpr double kChance = 4;           // and the multiple must lie so many times the scatter above it
 constexpr double kProvenDecay = 0.997;  // per sweep: proven rates of a machine kind fade over half a minute
 constexpr double kPermitLasts = 0.5;    // windows
 // By load reports. So many answers count for what was supposed before, and so many are remembered.
--- a/src/decide/health.cpp
+++ b/src/decide/health.cpp
@@ -56,7 +56,8 @@
       break;
     case Outcome::timeout:
       if (c.norm > 0 && taken > c.norm * r.cost)
-        h.pace += kPaceGain * (std::min(taken / (c.norm * r.cost), 20.0) - h.pace);
+        h.pace += std::max(kPaceGain, kToldGain * (1 - cutoff_.evidence())) *
+                  (std::min(taken / (c.norm * r.cost), 20.0) - h.pace);
       failed = true;
       break;
     case Outcome::error:
@@ -102,9 +103,8 @@
 void HostHealth::onReport(Host& h, const LoadReport& report) {
   if (report.util >= 0) h.busy = report.util;
   h.recent = toSeconds(report.recent);
-  if (h.recent > 0 && usualRecent_ > 0)
-    h.pace +=
-        kToldGain * (1 - cutoff_.evidence()) * (std::clamp(h.recent / usualRecent_, 0.2, 20.0) - h.pace);
+  if (h.recent <= 0 || usualRecent_ <= 0) return;
+  h.pace += kToldGain * (1 - cutoff_.evidence()) * (std::clamp(h.recent / usualRecent_, 0.2, 20.0) - h.pace);
 }
 
 double HostHealth::trust(const Host& h, std::uint32_t cls) const {
