--- a/src/decide/attempts.cpp
+++ b/src/decide/attempts.cpp
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr double kCopyNorms = 2.5;   // a second copy after so many usual times
+constexpr double kSlowPace = 2;      // of a host known to be slow: its lateness tells nothing of the pool
 constexpr double kLeftApart = 0.02;  // of the client's total wait: times closer than this are the same
 constexpr double kAfterLeast = 0.1;  // of the longest retry-after: the highest score stays away a bit too
 
@@ -133,8 +134,6 @@
   cancelOut(*r, attempt);
 }
 
-// --- The end ----------------------------------------------------------------------------------------------
-
 void Attempts::finish(
     Open& r) {  // a refusal claims that a retry is harmless, so it needs proof; else an error
   const ClassSettings& c = c_.classes[r.cls].set;
@@ -208,8 +207,6 @@
   return c_.classes[r.cls].set.lateShare > 0 ? end : std::min(end, r.aimAt - 2 * c_.set.step);
 }
 
-// --- Time -------------------------------------------------------------------------------------------------
-
 void Attempts::onWake() {
   while (!guards_.empty() && guards_.top().at <= c_.now) {
     const Guard g = guards_.top();
@@ -222,7 +219,8 @@
       turnsDue_.push_back(r->key);
       if (hopeless(*r, 0)) finish(*r);
     } else if (g.due == Due::answer && !r->coming) finish(*r);
-    else if (g.due == Due::late && r->out > 0 && cutoff_.busy() > 0) cutoff_.met(1);
+    else if (g.due == Due::late && r->out > 0 && cutoff_.busy() > 0)
+      cutoff_.met(fleet_.at(r->tries[r->count - 1].host).pace < kSlowPace ? 1 : -1);
     else if (g.due == Due::copy && r->out == 1 && cutoff_.cut() <= 1) resend(*r);
   }
 }
