--- a/src/context.hpp
+++ b/src/context.hpp
@@ -24,7 +24,7 @@
   }
 
   // Own draws: std distributions differ between standard libraries.
-  double drawUnit() { return static_cast<double>(engine_() >> 11) * 0x1.0p-53; }
+  double drawUnit() { return unit(engine_()); }
   std::size_t drawBelow(std::size_t n) {
     return static_cast<std::size_t>(drawUnit() * static_cast<double>(n));
   }
--- a/src/decide/cutoff.hpp
+++ b/src/decide/cutoff.hpp
@@ -26,6 +26,7 @@
   double askedRate() const { return askedRate_; }  // requests a second
   // 0 to 1: how much half a second of our traffic tells. Of a trickle it is noise, and gains shrink with it.
   double evidence() const { return std::clamp(askedRate_ / kSteadyRate, 0.05, 1.0); }
+  double thin() const { return 1 - evidence(); }  // how much what others saw stands in for our traffic
   double fastGain() const { return kFastGain * evidence(); }
 
  private:
--- a/src/decide/health.cpp
+++ b/src/decide/health.cpp
@@ -56,7 +56,7 @@
       break;
     case Outcome::timeout:
       if (c.norm > 0 && taken > c.norm * r.cost)
-        h.pace += std::max(kPaceGain, kToldGain * (1 - cutoff_.evidence())) *
+        h.pace += std::max(kPaceGain, kToldGain * cutoff_.thin()) *
                   (std::min(taken / (c.norm * r.cost), 20.0) - h.pace);
       failed = true;
       break;
@@ -82,8 +82,7 @@
   if (failed) h.errors += 1;
   // Danger: from a trickle five failures on end take half a minute, at each of many gateways.
   if (a.outcome != Outcome::full)
-    h.fails +=
-        std::max(kFailGain, (1 - cutoff_.evidence()) / (1 + h.outcomes)) * ((failed ? 1.0 : 0.0) - h.fails);
+    h.fails += std::max(kFailGain, cutoff_.thin() / (1 + h.outcomes)) * ((failed ? 1.0 : 0.0) - h.fails);
   if (a.outcome != Outcome::connectFailed) {
     const double lost = failed || a.outcome == Outcome::full ? 1 : 0;
     h.classFails[r.cls] += kClassGain * (lost - h.classFails[r.cls]);
@@ -104,7 +103,7 @@
   if (report.util >= 0) h.busy = report.util;
   h.recent = toSeconds(report.recent);
   if (h.recent <= 0 || usualRecent_ <= 0) return;
-  h.pace += kToldGain * (1 - cutoff_.evidence()) * (std::clamp(h.recent / usualRecent_, 0.2, 20.0) - h.pace);
+  h.pace += kToldGain * cutoff_.thin() * (std::clamp(h.recent / usualRecent_, 0.2, 20.0) - h.pace);
 }
 
 double HostHealth::trust(const Host& h, std::uint32_t cls) const {
--- a/src/decide/pick.cpp
+++ b/src/decide/pick.cpp
@@ -75,7 +75,7 @@
 }
 
 double Pick::weight(const Host& h, const Open& r) const {
-  const double thin = 1 - cutoff_.evidence(), free = std::clamp(1.05 - h.busy, 0.05, 1.0);
+  const double thin = cutoff_.thin(), free = std::clamp(1.05 - h.busy, 0.05, 1.0);
   return (h.local ? kLocalLean : 1) * h.share * health_.trust(h, r.cls) / std::max(h.pace * h.pace, 0.01) *
          (1 - thin + thin * free * free);
 }
@@ -113,7 +113,7 @@
     if (!idle(h)) continue;
     const double part = weight(h, r);
     if (keyed && herd) {
-      const double at = -std::log(static_cast<double>((mix(h.hash ^ set) >> 11) + 1) * 0x1.0p-53) / part;
+      const double at = -std::log(unit(mix(h.hash ^ set)) + 0x1.0p-53) / part;
       if (at < least) least = at, chosen = id;
     } else {
       sum += part;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -148,15 +148,22 @@
   return std::max<double>(static_cast<double>(part(day, "cutoff_by_second").size()), 1);
 }
 
+// Of one class; runs side by side are told apart by name and dashes, classes by colour.
+Series seriesOf(const Side& side, const json& ofClass, std::size_t number) {
+  return {
+      ofClass.at("name").get<std::string>() + side.name, kColours[number % kColours.size()], {}, side.dashed};
+}
+
 std::string inTimeChart(const std::vector<Side>& sides) {
   Axis x{0, lengthOf(*sides[0].day), "seconds since the clients began"};
   Axis y{0, 1, "worth earned / asked for"};
   std::vector<Series> series;
   for (const Side& side : sides) {
     std::size_t colour = 0;
-    for (const json& c : side.day->at("classes"))
-      series.push_back({c.at("name").get<std::string>() + side.name, kColours[colour++ % kColours.size()],
-                        shares(c), side.dashed});
+    for (const json& c : side.day->at("classes")) {
+      series.push_back(seriesOf(side, c, colour++));
+      series.back().points = shares(c);
+    }
   }
   return chart(x, y, series, part(*sides[0].day, "troubles"));
 }
@@ -169,8 +176,7 @@
   for (const Side& side : sides) {
     std::size_t colour = 0;
     for (const json& c : side.day->at("classes")) {
-      Series s{
-          c.at("name").get<std::string>() + side.name, kColours[colour++ % kColours.size()], {}, side.dashed};
+      Series s = seriesOf(side, c, colour++);
       for (const json& point : c.at("latency_ms")) {
         const double ms = point[1].get<double>();
         if (ms <= 0) continue;
@@ -192,8 +198,7 @@
   for (const Side& side : sides) {
     std::size_t colour = 0;
     for (const json& c : side.day->at("classes")) {
-      Series s{
-          c.at("name").get<std::string>() + side.name, kColours[colour++ % kColours.size()], {}, side.dashed};
+      Series s = seriesOf(side, c, colour++);
       const json& refusals = c.at("refusals_by_second");
       for (std::size_t i = 0; i < refusals.size(); ++i) {
         s.points.emplace_back(static_cast<double>(i) + 0.5, refusals[i].get<double>());
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -29,6 +29,8 @@
   return x ^ (x >> 31);
 }
 
+inline double unit(std::uint64_t bits) { return static_cast<double>(bits >> 11) * 0x1.0p-53; }  // in [0, 1)
+
 inline std::uint64_t hashText(std::string_view text) {  // FNV-1a: the same at every gateway
   std::uint64_t h = 0xcbf29ce484222325ULL;
   for (unsigned char c : text) h = (h ^ c) * 0x100000001b3ULL;
@@ -378,7 +380,7 @@
   copy,
   turn,
   late
-};  // last moment for an answer; a second copy; a look at the key's turn
+};  // last moment for an answer; a second copy; a look at the key's turn; its aim has gone by
 
 struct Guard {
   Time at;
