--- a/src/state.hpp
+++ b/src/state.hpp
@@ -375,12 +375,8 @@
   std::unordered_map<std::uint64_t, Turn> turns_;
 };
 
-enum class Due {
-  answer,
-  copy,
-  turn,
-  late
-};  // last moment for an answer; a second copy; a look at the key's turn; its aim has gone by
+// Last moment for an answer; a second copy; a look at the key's turn; its aim has gone by.
+enum class Due { answer, copy, turn, late };
 
 struct Guard {
   Time at;
