--- a/tests/herd_test.cpp
+++ b/tests/herd_test.cpp
@@ -216,6 +216,39 @@
   EXPECT_GT(h.sentTo("new"), 2 * h.sentTo("old"));
 }
 
+TEST(Herd, AColdOwnZoneIsNotPushedOverWhileTheOtherZoneIsWarm) {
+  Herd h;
+  h.perSecond = 2;                        // 600 a second, of which the east alone bears 800
+  h.add(40, "std", 3, milliseconds(75));  // 40 a second each; even hosts stand in the east
+  h.start();
+  h.play(seconds(6));
+  for (std::size_t i = 1; i < h.machines.size(); i += 2) {  // the whole west restarted at once
+    h.machines[i].entry.address += "-b";
+    h.machines[i].entry.upSince = h.now;
+  }
+  for (std::size_t g = 0; g < h.gateways.size(); ++g) h.list(g, ListKind::replace), h.carryOut(g);
+  // Each second, no cold host gets more than it starts with, coldShare x 40, where an even share is 15.
+  h.count();
+  int worst = 0;
+  std::vector<int> before(h.machines.size(), 0);
+  for (int second = 0; second < 4; ++second) {
+    h.play(seconds(1));
+    for (std::size_t i = 1; i < h.machines.size(); i += 2) {
+      worst = std::max(worst, h.machines[i].sent - before[i]);
+      before[i] = h.machines[i].sent;
+    }
+  }
+  EXPECT_LE(worst, 8);
+  EXPECT_GT(h.answered(), 0.85);  // the warm east takes what the west cannot yet
+  h.play(seconds(10));            // all warm again
+  h.count();
+  h.play(seconds(4));
+  int west = 0;
+  for (std::size_t i = 1; i < h.machines.size(); i += 2) west += h.machines[i].sent;
+  EXPECT_GT(h.answered(), 0.85);
+  EXPECT_GT(west, h.asked / 4);  // the west has its share back
+}
+
 TEST(PlaceTable, GivesEachHostAsManyPlacesAndMovesFewWhenOneGoes) {
   std::vector<std::uint64_t> hashes;
   for (std::uint64_t i = 0; i < 200; ++i) hashes.push_back(mix(i));
