Lab: a gateway child ends with the laboratory, also when it is killed

Cause: each gateway is put in a process group of its own so that Ctrl-C reaches the laboratory alone; a laboratory killed by SIGKILL could not end them, and they lived on (seen: 2 gateways still running after the live demo was killed). Change: the child asks for SIGKILL at its parent's death (PR_SET_PDEATHSIG) between fork and exec, and exits at once if the parent died before that line.

--- a/src/lab/gateway_process.cpp
+++ b/src/lab/gateway_process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -65,6 +66,7 @@
   environment.push_back(nullptr);
   const std::string log = (place_.folder / "log.txt").string();
   char* arguments[] = {program_.data(), nullptr};
+  const pid_t laboratory = ::getpid();
   pid_ = ::fork();
   if (pid_ < 0) throw std::runtime_error("no further process can be started");
   if (pid_ == 0) {  // only calls that are safe between fork and exec
@@ -72,6 +74,10 @@
     if (fd >= 0) ::dup2(fd, 1), ::dup2(fd, 2);
     ::close_range(3, ~0U, 0);  // Danger: it would hold the hosts' sockets open beyond their end
     ::setpgid(0, 0);           // Ctrl-C reaches the laboratory, which stops the gateways itself
+    // Ended with the laboratory even when it is killed and cannot end its children itself; where it died
+    // before this line, at once.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != laboratory) ::_exit(126);
     ::execve(program_.c_str(), arguments, environment.data());
     ::_exit(127);
   }
