--- a/src/lab/commands_live.cpp
+++ b/src/lab/commands_live.cpp
@@ -22,8 +22,35 @@
 struct LiveCommand : DayChoice {
   std::string gateway = besideThisProgram("cairnjunction"), out, report;
   bool json = false;
+  std::vector<std::string> discoveryFaults, pauses;  // as given; read by readWindow
+  double withinSpread = 0;                           // 0: not judged
 };
 
+// "EVERY:OFFSET:FROM:FOR" (gateways g % EVERY == OFFSET, seconds from the start of traffic), with a fault
+// behind it for discovery: ":cut", ":reset" or ":delay=MS+JITTER". Throws CLI::ValidationError with one line.
+LiveOptions::DiscoveryFault readWindow(const std::string& text, bool withFault) {
+  LiveOptions::DiscoveryFault w;
+  char kind[16] = {};
+  long delay = 0, jitter = 0;
+  int used = 0;
+  const int n = std::sscanf(text.c_str(), "%u:%u:%lf:%lf%n:%15[a-z]%n=%ld+%ld", &w.every, &w.offset, &w.fromS,
+                            &w.forS, &used, kind, &used, &delay, &jitter);
+  const std::string k = kind;
+  const bool good = w.every > 0 && w.offset < w.every && w.fromS >= 0 && w.forS > 0 &&
+                    (withFault ? (n == 5 && (k == "cut" || k == "reset") && used == int(text.size())) ||
+                                     (n == 7 && k == "delay" && delay >= 0 && jitter >= 0)
+                               : n == 4 && used == int(text.size()));
+  if (!good)
+    throw CLI::ValidationError(
+        text, withFault ? "want EVERY:OFFSET:FROM_S:FOR_S:cut|reset|delay=MS+JITTER_MS, "
+                          "OFFSET under EVERY, FOR_S over 0"
+                        : "want EVERY:OFFSET:FROM_S:FOR_S, OFFSET under EVERY, FOR_S over 0");
+  w.fault.kind = k == "cut" ? Fault::Kind::cut : k == "reset" ? Fault::Kind::reset : Fault::Kind::delay;
+  w.fault.delay = std::chrono::milliseconds(delay);
+  w.fault.jitter = std::chrono::milliseconds(jitter);
+  return w;
+}
+
 // The day with gateways whose files go with it; Ctrl-C ends it early.
 LiveResult playHere(const Scenario& scenario, const LiveCommand& o, bool showEachSecond, bool demo) {
   heedInterrupts();
@@ -34,6 +61,8 @@
   options.showEachSecond = showEachSecond;
   options.demo = demo;
   options.stopped = interrupted;
+  for (const std::string& f : o.discoveryFaults) options.discoveryFaults.push_back(readWindow(f, true));
+  for (const std::string& p : o.pauses) options.pauses.push_back(readWindow(p, false));
   return playLive(scenario, o.seed, options);
 }
 
@@ -44,7 +73,10 @@
                  {"void_reason", live.voidReason},
                  {"latest_ms", live.latestMs},
                  {"gateway_cpu_us_a_request", live.gatewayCpuUs},
-                 {"gateways_died", live.gatewaysDied}};
+                 {"gateways_died", live.gatewaysDied},
+                 {"spread", toJson(live.spread)},
+                 {"landed_each_second", live.landed.seconds},
+                 {"events", live.events}};
   if (!o.out.empty()) writeFile(o.out, results.dump(1) + "\n");
   if (!o.report.empty()) writeFile(o.report, renderReport(results, nullptr));
   if (o.json) {
@@ -53,10 +85,18 @@
     printDays({live.day});
     std::printf("gateways: %.0f us of CPU a request; the laboratory was %.1f ms late at most\n",
                 live.gatewayCpuUs, live.latestMs);
+    const Spread& sp = live.spread;
+    std::printf("spread at the hosts: max/mean %.2f, variation %.2f, %u idle, herd peak %.2f\n",
+                sp.maxOverMean, sp.variation, sp.idle, sp.herdPeak);
+    for (const std::string& e : live.events) std::printf("  %s\n", e.c_str());
     if (live.gatewaysDied > 0) std::printf("GATEWAYS DIED: %u\n", live.gatewaysDied);
     if (live.isVoid) std::printf("VOID: %s\n", live.voidReason.c_str());
   }
-  return live.day.clean() && !live.isVoid && live.gatewaysDied == 0 ? kYes : kNo;
+  const bool even = o.withinSpread <= 0 || (live.spread.maxOverMean <= o.withinSpread &&
+                                            live.spread.idle == 0 && live.spread.mean > 0);
+  if (!even && !o.json)
+    std::printf("SPREAD: over %.2f of the mean at one host, or a host idle\n", o.withinSpread);
+  return live.day.clean() && !live.isVoid && live.gatewaysDied == 0 && even ? kYes : kNo;
 }
 
 }  // namespace
@@ -71,7 +111,20 @@
   command->add_option("--out", o->out, "write the results as JSON to this file too");
   command->add_option("--report", o->report, "write an HTML report to this file");
   command->add_flag("--json", o->json, "print JSON");
-  command->footer("Example:\n  fennelridge-lab live scenarios/rough.json --seed 3 --report rough.html");
+  command->add_option(
+      "--discovery-fault", o->discoveryFaults,
+      "EVERY:OFFSET:FROM_S:FOR_S:cut|reset|delay=MS+JITTER_MS between some gateways and their "
+      "discovery, through a proxy");
+  command->add_option(
+      "--within-spread", o->withinSpread,
+      "exit 1 also if a host got more than this multiple of the mean, or under a quarter of it");
+  command->add_option("--pause", o->pauses,
+                      "EVERY:OFFSET:FROM_S:FOR_S: stop some gateways (SIGSTOP), then resume");
+  command->footer(
+      "Examples:\n  fennelridge-lab live scenarios/rough.json --seed 3 --report rough.html\n"
+      "  fennelridge-lab live scenarios/quiet.json --discovery-fault 3:0:2:6:cut --pause 8:1:4:3   # a third "
+      "cut "
+      "from discovery\n    for 6 s from the second 2, one gateway in eight paused for 3 s");
   command->callback([o, &result] {
     const Scenario scenario = openScenario(o->scenario, o->set);
     checkProgram(o->gateway);
--- a/src/lab/gateway_process.cpp
+++ b/src/lab/gateway_process.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <vector>
 
@@ -149,9 +150,15 @@
 }
 
 tcp::endpoint freeAddress() {
+  // The kernel may name a port twice once it is closed again; a rig of 20 gateways asks for 40 of them, so
+  // each is named once by this process.
+  static std::set<unsigned short> given;
   boost::asio::io_context io;
-  tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint();
+  for (int tries = 0;; ++tries) {
+    tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+    if (given.insert(acceptor.local_endpoint().port()).second || tries == 100)
+      return acceptor.local_endpoint();
+  }
 }
 
 }  // namespace fennelridge::lab
--- a/src/lab/live_day.cpp
+++ b/src/lab/live_day.cpp
@@ -132,12 +132,21 @@
         referee_(rules_, scenario.classes),
         fleet_(io_, clock_, scenario, seed, this),
         front_(seed, "front") {
-    for (std::uint32_t g = 0; g < fleet_.layout().gatewayZones.size(); ++g) {
+    // Proxies first: they hold their ports, where freeAddress only names a port that was free, which a proxy
+    // bound after it could take.
+    const std::size_t count = fleet_.layout().gatewayZones.size();
+    for (std::uint32_t g = 0; g < count; ++g) {
       Gateway& gate = gateways_.emplace_back();
       gate.zone = fleet_.layout().gatewayZones[g];
+      if (!options.discoveryFaults.empty())  // free while off: no proxy at all
+        gate.discovery = std::make_unique<FaultProxy>(io_, fleet_.discoveryOf(g), seed ^ g);
+    }
+    for (std::uint32_t g = 0; g < count; ++g) {
+      Gateway& gate = gateways_[g];
       gate.process = std::make_unique<GatewayProcess>(
           options.gateway,
-          GatewayProcess::Place{"g" + std::to_string(g), freeAddress(), freeAddress(), fleet_.discoveryOf(g),
+          GatewayProcess::Place{"g" + std::to_string(g), freeAddress(), freeAddress(),
+                                gate.discovery ? gate.discovery->address() : fleet_.discoveryOf(g),
                                 std::filesystem::path(options.folder) / ("g" + std::to_string(g))});
     }
   }
@@ -150,6 +159,7 @@
     ++tally_.attempts;
     if (gateway == UINT32_MAX) return;
     referee_.sent(now, id, gateway, host);
+    land(now, host);
     if (host < fleet_.layout().hosts.size() && fleet_.layout().hosts[host].zone != gateways_[gateway].zone)
       ++tally_.crossings;
   }
@@ -173,6 +183,7 @@
  private:
   struct Gateway {
     std::unique_ptr<GatewayProcess> process;
+    std::unique_ptr<FaultProxy> discovery;  // only where faults are asked for
     std::uint32_t zone = 0;
     unsigned starts = 0;
     bool ready = false, seenAlive = false;
@@ -195,6 +206,9 @@
   void operatorCall(const std::string& target);
   void handMoves();
   void eachSecond();
+  void land(Time now, std::uint32_t host);
+  void rigWindows();
+  void rigEvent(std::uint32_t gateway, const std::string& what);
   std::string textOf(const Try& t) const;
 
   const Scenario& s_;
@@ -219,8 +233,61 @@
   double lastEarned_ = 0, lastAsked_ = 0;
   std::uint64_t lastTries_ = 0;
   std::string note_;
+  Landed landed_;
+  std::vector<std::string> events_;
 };
 
+void LiveDay::land(Time now, std::uint32_t host) {
+  if (now < begin_ || begin_ == Time{} || host >= fleet_.hosts()) return;
+  const auto second = static_cast<std::size_t>(toSeconds(now - begin_));
+  while (landed_.seconds.size() <= second) {
+    landed_.seconds.emplace_back(fleet_.hosts(), 0);
+    landed_.peak.emplace_back(fleet_.hosts(), 0);
+  }
+  ++landed_.seconds[second][host];
+  std::uint32_t& peak = landed_.peak[second][host];
+  peak = std::max(peak, static_cast<std::uint32_t>(fleet_.holds(host)));
+}
+
+void LiveDay::rigEvent(std::uint32_t gateway, const std::string& what) {
+  char at[32];
+  std::snprintf(at, sizeof at, "%.3f g%u ", toSeconds(clock_.now() - begin_), gateway);
+  events_.push_back(at + what);
+}
+
+// The rig's faults and pauses, each at its time; the end of a window brings the gateway back as it was.
+void LiveDay::rigWindows() {
+  const auto each = [&](const LiveOptions::Window& w, auto begin, auto end) {
+    for (std::uint32_t g = 0; g < gateways_.size(); ++g) {
+      if (w.every == 0 || g % w.every != w.offset) continue;
+      clock_.at(begin_ + fromSeconds(w.fromS), [=] { begin(g); });
+      clock_.at(begin_ + fromSeconds(w.fromS + w.forS), [=] { end(g); });
+    }
+  };
+  for (const LiveOptions::DiscoveryFault& f : options_.discoveryFaults)
+    each(
+        f,
+        [this, fault = f.fault](std::uint32_t g) {
+          gateways_[g].discovery->set(fault);
+          rigEvent(g, "discovery " + lab::textOf(fault));
+        },
+        [this](std::uint32_t g) {
+          gateways_[g].discovery->set(Fault{});
+          rigEvent(g, "discovery pass");
+        });
+  for (const LiveOptions::Window& p : options_.pauses)
+    each(
+        p,
+        [this](std::uint32_t g) {
+          gateways_[g].process->kill(SIGSTOP);
+          rigEvent(g, "paused");
+        },
+        [this](std::uint32_t g) {
+          gateways_[g].process->kill(SIGCONT);
+          rigEvent(g, "resumed");
+        });
+}
+
 void LiveDay::startGateway(std::uint32_t number) {
   Gateway& g = gateways_[number];
   const std::uint64_t start[2] = {number, g.starts++};
@@ -474,9 +541,10 @@
     eachSecond();
   });
   if (options_.demo) handMoves();
+  rigWindows();
   nextFirstTry();
   const Time end = begin_ + fromSeconds(s_.lengthS);
-  LiveResult result{{s_.name, seed_, Tally(s_), {}, {}, 0, 0}, false, {}, 0, 0, 0, false};
+  LiveResult result{{s_.name, seed_, Tally(s_), {}, {}, 0, 0}, false, {}, 0, 0, 0, false, {}, {}, {}};
   while (!stopped() && !failed_ && clock_.now() < end + kAfterwards &&
          !(trafficOver_ && clients_->open() == 0 && clock_.now() >= end))
     io_.run_for(std::chrono::milliseconds(20));
@@ -486,6 +554,7 @@
     cpu += g.process->cpuSeconds();
     g.process->running();
     result.gatewaysDied += g.process->died() ? 1 : 0;
+    if (!options_.pauses.empty()) g.process->kill(SIGCONT);  // a stopped process would not heed SIGTERM
     g.process->kill(SIGTERM);
   }
   const Time patience = clock_.now() + std::chrono::seconds(5);
@@ -497,6 +566,9 @@
   result.day = DayResult{
       s_.name, seed_, tally_, referee_.counts(), referee_.first(), toSeconds(clock_.now() - begin_), tries_};
   for (Breach& b : result.day.firstBreaches) b.at -= begin_;
+  result.landed = std::move(landed_);
+  result.spread = spreadOf(result.landed, 0, result.landed.seconds.size());
+  result.events = std::move(events_);
   result.gatewayCpuUs = tries_ > 0 ? 1e6 * cpu / static_cast<double>(tries_) : 0;
   result.latestMs = toSeconds(clock_.latest()) * 1e3;
   const double late = static_cast<double>(clock_.late());
--- a/src/lab/live_day.hpp
+++ b/src/lab/live_day.hpp
@@ -6,6 +6,8 @@
 #include <functional>
 #include <string>
 
+#include "lab/faults/proxy.hpp"
+#include "lab/rig/spread.hpp"
 #include "lab/scenario.hpp"
 #include "lab/tally.hpp"
 
@@ -19,6 +21,19 @@
   // killed.
   bool demo = false;
   std::function<bool()> stopped;  // asked now and then: true ends the day early
+
+  // Of the rig (issue 24). Each names the gateways g with g % every == offset, and a window in seconds from
+  // the start of traffic. A fault stands in a proxy between each named gateway and its discovery; without
+  // any, gateways talk to discovery straight. A pause stops each named gateway (SIGSTOP) and resumes it.
+  struct Window {
+    std::uint32_t every = 1, offset = 0;
+    double fromS = 0, forS = 0;
+  };
+  struct DiscoveryFault : Window {
+    Fault fault;
+  };
+  std::vector<DiscoveryFault> discoveryFaults;
+  std::vector<Window> pauses;
 };
 
 struct LiveResult {
@@ -29,6 +44,9 @@
   double gatewayCpuUs = 0;    // of all gateways, for each request
   unsigned gatewaysDied = 0;  // without having been killed by the laboratory
   bool stopped = false;
+  Landed landed;  // at the hosts, each second of traffic: requests that arrived, most held at one arrival
+  Spread spread;  // over all seconds of traffic
+  std::vector<std::string> events;  // faults and pauses as carried out: "12.000 g3 discovery cut"
 };
 
 // Throws std::runtime_error with one line when a gateway can't be started or is not ready within 10 s.
