--- a/src/decide/attempts.hpp
+++ b/src/decide/attempts.hpp
@@ -8,18 +8,10 @@
 
 namespace ochrehill {
 
-class Attempts {
+class Attempts : Known {
  public:
-  Attempts(Context& context, OpenRequests& requests, Fleet& fleet, Cutoff& cutoff, HostHealth& health,
-           Connections& connections, ColdStart& cold, Pick& pick)
-      : c_(context),
-        requests_(requests),
-        fleet_(fleet),
-        cutoff_(cutoff),
-        health_(health),
-        connections_(connections),
-        cold_(cold),
-        pick_(pick) {}
+  Attempts(const Known& known, OpenRequests& requests, Pick& pick)
+      : Known(known), requests_(requests), pick_(pick) {}
 
   void onRequest(const Request& q);
   void onWhole(RequestId id);
@@ -68,13 +60,7 @@
   void cancelOut(Open& r, std::uint32_t except = kNone);
   void release(Open& r);
 
-  Context& c_;
   OpenRequests& requests_;
-  Fleet& fleet_;
-  Cutoff& cutoff_;
-  HostHealth& health_;
-  Connections& connections_;
-  ColdStart& cold_;
   Pick& pick_;
   std::priority_queue<Guard, std::vector<Guard>, std::greater<>> guards_;
   Turns turns_;
--- a/src/decide/cutoff.hpp
+++ b/src/decide/cutoff.hpp
@@ -24,6 +24,8 @@
   double busy() const { return busy_; }
   double usual() const { return norm_; }           // seconds an answer takes, over all classes; 0: not known
   double askedRate() const { return askedRate_; }  // requests a second
+  // The same, less in the first seconds: a few requests then are no proof of many.
+  double provenRate() const { return askedRate_ * sweeps_ / (sweeps_ + kProof); }
   // 0 to 1: how much half a second of our traffic tells. Of a trickle it is noise, and gains shrink with it.
   double evidence() const { return std::clamp(askedRate_ / kSteadyRate, 0.05, 1.0); }
   double thin() const { return 1 - evidence(); }  // how much what others saw stands in for our traffic
@@ -47,6 +49,7 @@
   double norm_ = 0, room_ = 2, busy_ = 0;
   static constexpr double kMetGain = 0.15;   // per outcome: over the last seven
   static constexpr double kFastGain = 0.2;   // per sweep: rates over about half a second
+  static constexpr double kProof = 30;       // sweeps
   static constexpr double kSteadyRate = 80;  // requests a second that make half a second steady enough
 };
 
--- a/src/decide/fleet.cpp
+++ b/src/decide/fleet.cpp
@@ -9,8 +9,11 @@
 // the others out. A gateway keeps to this many hosts, and to this many times its part of the pool.
 constexpr double kWidthLeast = 6;
 constexpr double kWidthParts = 4;
-constexpr std::uint32_t kRound = 16;  // gateways dealt out over the pool at a time
-constexpr double kCrowded = 1.5;      // times the median held: too much
+constexpr std::uint32_t kRings = 2;  // more mix the gateways' hosts better, and cover the pool less evenly
+constexpr std::uint64_t kGolden = 0x9e3779b97f4a7c15ULL;  // of the ratio, the part after the point
+constexpr double kLeastRate =
+    0.5;                          // requests a second for each host that a busy gateway takes in beyond these
+constexpr double kCrowded = 1.5;  // times the median held: too much
 constexpr double kShareGain = 0.5;    // power of the excess taken off a host's share at each report
 constexpr double kShareBack = 1.1;    // and its way back
 constexpr double kShareLeast = 0.05;  // a trickle, or it would never be known better
@@ -115,23 +118,30 @@
   reorder();
 }
 
-// Own hosts first: on a ring, ordered anew for every round of gateways, which start evenly around it; hosts
-// that come or go move only their neighbours. Keys are kept warm by all.
+// Own hosts first: a slice of one of a few rings. Where it begins goes by the golden ratio, so that gateways
+// lie evenly over the pool however many there are, and a host that comes or goes moves only its neighbours.
 void Fleet::reorder() {
-  const double count = static_cast<double>(listed_.size());
-  const double own = c_.set.warmKeys ? count : kWidthLeast + kWidthParts * count / c_.set.groupSize;
-  width_ = static_cast<std::size_t>(std::min(count, own));
-  const std::uint64_t salt = mix(c_.set.number / kRound);
-  const std::uint64_t start = c_.set.number % kRound * (UINT64_MAX / kRound);
-  const auto after = [&](HostId id) { return mix(hosts_[id].hash ^ salt) - start; };
+  const std::size_t count = listed_.size();
+  const double own = kWidthLeast + kWidthParts * static_cast<double>(count) / c_.set.groupSize;
+  own_ =
+      c_.set.warmKeys ? count : std::min(count, static_cast<std::size_t>(own));  // keys are kept warm by all
+  const std::uint64_t salt = mix(c_.set.number % kRings), part = c_.set.number / kRings * kGolden >> 32;
+  const auto rank = [&](HostId id) { return mix(hosts_[id].hash ^ salt); };
   order_ = listed_;
-  std::sort(order_.begin(), order_.end(), [&](HostId a, HostId b) { return after(a) < after(b); });
+  std::sort(order_.begin(), order_.end(), [&](HostId a, HostId b) { return rank(a) < rank(b); });
+  std::rotate(order_.begin(), order_.begin() + static_cast<std::ptrdiff_t>(part * count >> 32), order_.end());
   std::vector<std::uint64_t> hashes;
   for (HostId id : listed_) hashes.push_back(hosts_[id].hash);
   if (c_.set.warmKeys) places_.fill(std::move(hashes));  // else nobody asks for them
+  width_ = std::max(own_, std::min(width_, count));
   recount();
 }
 
+// Danger: a gateway that is given many times the traffic of the others pushes it all at its few hosts.
+void Fleet::widen(double rate) {
+  width_ = std::max(own_, std::min(listed_.size(), static_cast<std::size_t>(rate / kLeastRate)));
+}
+
 void Fleet::recount() {
   held_ = 0;
   for (Host& h : hosts_) h.counts = false;
--- a/src/decide/fleet.hpp
+++ b/src/decide/fleet.hpp
@@ -12,6 +12,7 @@
   void onHosts(ListKind kind, const std::vector<HostEntry>& entries);  // any kind but `unavailable`
   void onTakenOut(const std::string& address, bool out);
   void sweep();
+  void widen(double rate);     // requests a second at this gateway
   void forgetGone(HostId id);  // if no list and no open request names it any more
 
   HostId size() const { return hosts_.size(); }
@@ -56,7 +57,7 @@
   HostTable hosts_;
   std::vector<HostId> listed_, order_, coldOwn_;
   PlaceTable places_;
-  std::size_t width_ = 0;
+  std::size_t own_ = 0, width_ = 0;
   int held_ = 0;
   std::vector<Kind> kinds_;
   TakenOutHosts takenOut_;
--- a/src/decide/parts.hpp
+++ b/src/decide/parts.hpp
@@ -19,8 +19,9 @@
   HostHealth health{c, fleet, cutoff, requests};
   Connections connections{c, fleet};
   ColdStart cold{c, fleet, cutoff};
-  Pick pick{c, fleet, cutoff, health, connections, cold};
-  Attempts attempts{c, requests, fleet, cutoff, health, connections, cold, pick};
+  Known known{c, fleet, cutoff, health, connections, cold};
+  Pick pick{known};
+  Attempts attempts{known, requests, pick};
   Time nextSweep;
 
   Parts(Settings s, Time t) : c(std::move(s), t), nextSweep(t + kSweep) {}
@@ -32,6 +33,7 @@
     connections.sweep();
     health.sweep();
     fleet.sweep();
+    fleet.widen(cutoff.provenRate());
     cold.sweep();
     attempts.sweep();
     cutoff.sweep();
--- a/src/decide/pick.hpp
+++ b/src/decide/pick.hpp
@@ -8,16 +8,18 @@
 
 namespace ochrehill {
 
-class Pick {
+struct Known {  // what a pick and the attempts that follow from it are decided by
+  Context& c_;
+  Fleet& fleet_;
+  Cutoff& cutoff_;
+  HostHealth& health_;
+  Connections& connections_;
+  ColdStart& cold_;
+};
+
+class Pick : Known {
  public:
-  Pick(Context& context, Fleet& fleet, const Cutoff& cutoff, const HostHealth& health,
-       const Connections& connections, ColdStart& cold)
-      : c_(context),
-        fleet_(fleet),
-        cutoff_(cutoff),
-        health_(health),
-        connections_(connections),
-        cold_(cold) {}
+  explicit Pick(const Known& known) : Known(known) {}
 
   HostId host(const Open& r);  // kNone: there is none that the rules allow
 
@@ -32,12 +34,6 @@
   void gather(const Open& r, bool relaxed);
   void consider(const Open& r, HostId id, bool relaxed);
 
-  Context& c_;
-  Fleet& fleet_;
-  const Cutoff& cutoff_;
-  const HostHealth& health_;
-  const Connections& connections_;
-  ColdStart& cold_;
   double few_ = 1;             // held by a host of the usual pace: fewer is idle
   std::vector<HostId> ready_;  // hosts that may take the request at hand
   KeyShares keys_;             // of the requests that had to be placed
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -11,6 +11,7 @@
 #include "lab/experiment.hpp"
 #include "lab/progress_bar.hpp"
 #include "lab/report.hpp"
+#include "lab/rig/plan.hpp"
 #include "lab/virtual_fleet.hpp"
 
 namespace fennelridge::lab {
@@ -193,7 +194,8 @@
   command->add_flag("--json", *json, "print JSON");
   command->footer("Example:\n  fennelridge-lab fields | grep hosts.crowding");
   command->callback([json] {
-    const std::vector<FieldRow> rows = describeScenario();
+    std::vector<FieldRow> rows = describeScenario();
+    for (FieldRow& row : describeRigPlan()) rows.push_back(std::move(row));
     if (*json) {
       ordered out = ordered::array();
       for (const FieldRow& r : rows)
--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -37,6 +37,7 @@
 void addReport(CLI::App& app, int& result);
 void addEmulate(CLI::App& app, int& result);
 void addLive(CLI::App& app, int& result);
+void addRig(CLI::App& app, int& result);
 void addDemo(CLI::App& app, int& result);
 void addLoad(CLI::App& app, int& result);
 void addTrace(CLI::App& app, int& result);
--- a/src/lab/commands_live.cpp
+++ b/src/lab/commands_live.cpp
@@ -22,35 +22,9 @@
 struct LiveCommand : DayChoice {
   std::string gateway = besideThisProgram("cairnjunction"), out, report;
   bool json = false;
-  std::vector<std::string> discoveryFaults, pauses;  // as given; read by readWindow
-  double withinSpread = 0;                           // 0: not judged
+  const RigPlan* rig = nullptr;
 };
 
-// "EVERY:OFFSET:FROM:FOR" (gateways g % EVERY == OFFSET, seconds from the start of traffic), with a fault
-// behind it for discovery: ":cut", ":reset" or ":delay=MS+JITTER". Throws CLI::ValidationError with one line.
-LiveOptions::DiscoveryFault readWindow(const std::string& text, bool withFault) {
-  LiveOptions::DiscoveryFault w;
-  char kind[16] = {};
-  long delay = 0, jitter = 0;
-  int used = 0;
-  const int n = std::sscanf(text.c_str(), "%u:%u:%lf:%lf%n:%15[a-z]%n=%ld+%ld", &w.every, &w.offset, &w.fromS,
-                            &w.forS, &used, kind, &used, &delay, &jitter);
-  const std::string k = kind;
-  const bool good = w.every > 0 && w.offset < w.every && w.fromS >= 0 && w.forS > 0 &&
-                    (withFault ? (n == 5 && (k == "cut" || k == "reset") && used == int(text.size())) ||
-                                     (n == 7 && k == "delay" && delay >= 0 && jitter >= 0)
-                               : n == 4 && used == int(text.size()));
-  if (!good)
-    throw CLI::ValidationError(
-        text, withFault ? "want EVERY:OFFSET:FROM_S:FOR_S:cut|reset|delay=MS+JITTER_MS, "
-                          "OFFSET under EVERY, FOR_S over 0"
-                        : "want EVERY:OFFSET:FROM_S:FOR_S, OFFSET under EVERY, FOR_S over 0");
-  w.fault.kind = k == "cut" ? Fault::Kind::cut : k == "reset" ? Fault::Kind::reset : Fault::Kind::delay;
-  w.fault.delay = std::chrono::milliseconds(delay);
-  w.fault.jitter = std::chrono::milliseconds(jitter);
-  return w;
-}
-
 // The day with gateways whose files go with it; Ctrl-C ends it early.
 LiveResult playHere(const Scenario& scenario, const LiveCommand& o, bool showEachSecond, bool demo) {
   heedInterrupts();
@@ -61,11 +35,47 @@
   options.showEachSecond = showEachSecond;
   options.demo = demo;
   options.stopped = interrupted;
-  for (const std::string& f : o.discoveryFaults) options.discoveryFaults.push_back(readWindow(f, true));
-  for (const std::string& p : o.pauses) options.pauses.push_back(readWindow(p, false));
+  options.rig = o.rig;
   return playLive(scenario, o.seed, options);
 }
 
+void printSpread(const LiveResult& live) {
+  const auto line = [](const char* when, const Spread& s) {
+    std::printf(
+        "spread at the hosts, %s: max/mean %.2f, variation %.3f, %u idle, herd peak %.2f, %.3f handshakes a "
+        "request\n",
+        when, s.maxOverMean, s.variation, s.idle, s.herdPeak, s.handshakes);
+  };
+  line("the day", live.spread);
+  for (const PhaseSpread& phase : live.back) line(("2 s after " + phase.name).c_str(), phase.spread);
+  std::printf("a gateway: %.1f MB and %.0f descriptors at most; a host: %.1f connections in the mean\n",
+              live.gatewayMemoryMb, live.gatewayDescriptors, live.hostConnections);
+  for (const std::string& e : live.events) std::printf("  %s\n", e.c_str());
+}
+
+// What of the plan's bounds the day did not keep, a line each.
+std::vector<std::string> missedBounds(const RigBounds& bounds, const LiveResult& live) {
+  std::vector<std::string> out;
+  const auto judge = [&](const char* what, double value, double bound, bool least) {
+    if (bound < 0 || (least ? value >= bound : value <= bound)) return;
+    char text[128];
+    std::snprintf(text, sizeof text, "%s %.3f, should be at %s %.3f", what, value, least ? "least" : "most",
+                  bound);
+    out.push_back(text);
+  };
+  const Spread& s = live.spread;
+  if (s.mean <= 0) out.push_back("no request reached a host in the time that is judged");
+  judge("served", live.day.inTime(), bounds.served, true);
+  judge("max_over_mean", s.maxOverMean, bounds.maxOverMean, false);
+  judge("variation", s.variation, bounds.variation, false);
+  judge("idle_hosts", s.idle, bounds.idleHosts, false);
+  judge("handshakes_per_request", s.handshakes, bounds.handshakesPerRequest, false);
+  double herd = live.back.empty() ? s.herdPeak : 0;
+  for (const PhaseSpread& phase : live.back) herd = std::max(herd, phase.spread.herdPeak);
+  judge("herd_peak", herd, bounds.herdPeak, false);
+  return out;
+}
+
 int tell(const LiveResult& live, const LiveCommand& o) {
   ordered results{{"scenario", live.day.scenario}, {"days", ordered::array({toJson(live.day, true)})}};
   ordered& day = results["days"][0];
@@ -74,9 +84,19 @@
                  {"latest_ms", live.latestMs},
                  {"gateway_cpu_us_a_request", live.gatewayCpuUs},
                  {"gateways_died", live.gatewaysDied},
+                 {"gateway_memory_mb", live.gatewayMemoryMb},
+                 {"gateway_descriptors", live.gatewayDescriptors},
+                 {"host_connections", live.hostConnections},
                  {"spread", toJson(live.spread)},
-                 {"landed_each_second", live.landed.seconds},
+                 {"back", ordered::array()},
+                 {"landed_each_second", bySecond(live.landed.requests, live.landed.slotS)},
+                 {"handshakes_each_second", bySecond(live.landed.handshakes, live.landed.slotS)},
                  {"events", live.events}};
+  for (const PhaseSpread& phase : live.back)
+    day["live"]["back"].push_back({{"name", phase.name},
+                                   {"from_s", phase.fromS},
+                                   {"to_s", phase.toS},
+                                   {"spread", toJson(phase.spread)}});
   if (!o.out.empty()) writeFile(o.out, results.dump(1) + "\n");
   if (!o.report.empty()) writeFile(o.report, renderReport(results, nullptr));
   if (o.json) {
@@ -85,18 +105,15 @@
     printDays({live.day});
     std::printf("gateways: %.0f us of CPU a request; the laboratory was %.1f ms late at most\n",
                 live.gatewayCpuUs, live.latestMs);
-    const Spread& sp = live.spread;
-    std::printf("spread at the hosts: max/mean %.2f, variation %.2f, %u idle, herd peak %.2f\n",
-                sp.maxOverMean, sp.variation, sp.idle, sp.herdPeak);
-    for (const std::string& e : live.events) std::printf("  %s\n", e.c_str());
+    printSpread(live);
     if (live.gatewaysDied > 0) std::printf("GATEWAYS DIED: %u\n", live.gatewaysDied);
     if (live.isVoid) std::printf("VOID: %s\n", live.voidReason.c_str());
   }
-  const bool even = o.withinSpread <= 0 || (live.spread.maxOverMean <= o.withinSpread &&
-                                            live.spread.idle == 0 && live.spread.mean > 0);
-  if (!even && !o.json)
-    std::printf("SPREAD: over %.2f of the mean at one host, or a host idle\n", o.withinSpread);
-  return live.day.clean() && !live.isVoid && live.gatewaysDied == 0 && even ? kYes : kNo;
+  const std::vector<std::string> missed =
+      o.rig ? missedBounds(o.rig->within, live) : std::vector<std::string>();
+  for (const std::string& miss : missed)
+    if (!o.json) std::printf("OUT OF BOUNDS: %s\n", miss.c_str());
+  return live.day.clean() && !live.isVoid && live.gatewaysDied == 0 && missed.empty() ? kYes : kNo;
 }
 
 }  // namespace
@@ -111,20 +128,7 @@
   command->add_option("--out", o->out, "write the results as JSON to this file too");
   command->add_option("--report", o->report, "write an HTML report to this file");
   command->add_flag("--json", o->json, "print JSON");
-  command->add_option(
-      "--discovery-fault", o->discoveryFaults,
-      "EVERY:OFFSET:FROM_S:FOR_S:cut|reset|delay=MS+JITTER_MS between some gateways and their "
-      "discovery, through a proxy");
-  command->add_option(
-      "--within-spread", o->withinSpread,
-      "exit 1 also if a host got more than this multiple of the mean, or under a quarter of it");
-  command->add_option("--pause", o->pauses,
-                      "EVERY:OFFSET:FROM_S:FOR_S: stop some gateways (SIGSTOP), then resume");
-  command->footer(
-      "Examples:\n  fennelridge-lab live scenarios/rough.json --seed 3 --report rough.html\n"
-      "  fennelridge-lab live scenarios/quiet.json --discovery-fault 3:0:2:6:cut --pause 8:1:4:3   # a third "
-      "cut "
-      "from discovery\n    for 6 s from the second 2, one gateway in eight paused for 3 s");
+  command->footer("Example:\n  fennelridge-lab live scenarios/rough.json --seed 3 --report rough.html");
   command->callback([o, &result] {
     const Scenario scenario = openScenario(o->scenario, o->set);
     checkProgram(o->gateway);
@@ -132,6 +136,50 @@
   });
 }
 
+void addRig(CLI::App& app, int& result) {
+  auto* command = app.add_subcommand(
+      "rig",
+      "play a rig file: many real gateway processes, faults between them and the others, moves of the "
+      "processes; "
+      "exit 1 if a rule was broken, a gateway died, a bound was missed or the run is void");
+  struct Options : LiveCommand {
+    std::string plan;
+    bool check = false;
+  };
+  auto o = std::make_shared<Options>();
+  command->add_option("plan", o->plan, "rig file, such as those in scenarios/rig")->required();
+  command->add_option("--seed", o->seed, "seed of the day and of the faults' draws");
+  command->add_option("--set", o->set, "set a field of its scenario first, such as gateways.count=50");
+  command->add_option("--gateway", o->gateway, "the gateway's program");
+  command->add_option("--out", o->out, "write the results as JSON to this file too");
+  command->add_option("--report", o->report, "write an HTML report to this file");
+  command->add_flag("--json", o->json, "print JSON");
+  command->add_flag("--check", o->check, "only say whether the file is good");
+  command->footer(
+      "Examples:\n  fennelridge-lab rig scenarios/rig/discovery-cut.json\n"
+      "  fennelridge-lab rig scenarios/rig/restart.json --seed 3 --set gateways.count=300 --report rig.html\n"
+      "Fields of a rig file: fennelridge-lab fields | grep '^rig'");
+  command->callback([o, &result] {
+    RigReading reading = loadRigPlan(o->plan);
+    std::string wrong;
+    for (const Mistake& m : reading.mistakes)
+      wrong +=
+          (wrong.empty() ? "" : "\n") + o->plan + ": " + (m.where.empty() ? "" : m.where + ": ") + m.what;
+    if (!wrong.empty()) throw BadInput(wrong);
+    std::vector<std::string> set = reading.plan.set;
+    set.insert(set.end(), o->set.begin(), o->set.end());
+    const Scenario scenario = openScenario(reading.plan.scenarioFile, set);
+    if (o->check) {
+      std::printf("%s is good\n", o->plan.c_str());
+      return;
+    }
+    checkProgram(o->gateway);
+    o->rig = &reading.plan;
+    result = tell(playHere(scenario, *o, !o->json, false), *o);
+    o->rig = nullptr;
+  });
+}
+
 void addEmulate(CLI::App& app, int&) {
   auto* command = app.add_subcommand("emulate",
                                      "serve a scenario's hosts and discovery on loopback until Ctrl-C, for a "
@@ -158,7 +206,7 @@
       writeFile(file, nlohmann::json{{"name", "g" + std::to_string(g)},
                                      {"listen", listen},
                                      {"discovery", textOf(fleet.discoveryOf(g))},
-                                     {"known", fleet.list()},
+                                     {"known", fleet.list(g)},
                                      {"settings",
                                       platformSettings(moduleSettings(scenario, g, zone, o->seed), scenario)}}
                           .dump(1));
--- /dev/null
+++ b/src/lab/faults/datagram_mesh.hpp
@@ -0,0 +1,44 @@
+// The datagrams of a fleet, led through the laboratory: every party has a public address here, by which the
+// others know it, and faults hold from one party to another, each way on its own. Runs on the caller's loop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "lab/faults/fault.hpp"
+
+namespace fennelridge::lab {
+
+class DatagramMesh {
+ public:
+  using Party = std::size_t;  // in order of add()
+
+  // `seed` draws losses, copies, spoilt bits and jitter.
+  DatagramMesh(boost::asio::io_context& io, std::uint64_t seed);
+  ~DatagramMesh();
+  DatagramMesh(const DatagramMesh&) = delete;
+
+  // A party that sends from `real` and is to be reached there.
+  Party add(const boost::asio::ip::udp::endpoint& real);
+  boost::asio::ip::udp::endpoint address(Party party) const;  // its public one
+
+  // From now on, of what `from` sends to `to`. silentThere drops it; cut, reset and rate say nothing here.
+  void set(Party from, Party to, const Fault& fault);
+
+  struct Counts {
+    std::uint64_t datagrams = 0, bytes = 0;  // taken from its sender, whatever becomes of them
+    std::uint64_t lost = 0, copied = 0, spoilt = 0;
+  };
+  const Counts& counts(Party from) const;
+  std::uint64_t strangers() const;  // from an address that is no party's
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace fennelridge::lab
--- a/src/lab/faults/proxy.cpp
+++ b/src/lab/faults/proxy.cpp
@@ -1,125 +1,167 @@
 #include "lab/faults/proxy.hpp"
 
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/random/mersenne_twister.hpp>
-#include <boost/random/uniform_int_distribution.hpp>
 #include <list>
+#include <utility>
 #include <vector>
 
+#include "lab/random.hpp"
+
 namespace fennelridge::lab {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using boost::system::error_code;
 
-std::string textOf(const Fault& f) {
-  switch (f.kind) {
-    case Fault::Kind::pass: return "pass";
-    case Fault::Kind::delay:
-      return "delay " + std::to_string(f.delay.count()) + "+" + std::to_string(f.jitter.count()) + " ms";
-    case Fault::Kind::cut: return "cut";
-    case Fault::Kind::reset: return "reset";
-  }
-  return "?";
-}
+namespace {
+
+constexpr std::chrono::milliseconds kRetransmit{200};  // the least that Linux waits before it sends anew
+constexpr std::size_t kPiece = 16384;
+
+}  // namespace
 
 struct FaultProxy::State : std::enable_shared_from_this<FaultProxy::State> {
+  // One way of a link. One piece at a time: that bounds what the proxy holds, and a delay slows the sender
+  // down as a slow network would.
+  struct Way {
+    Way(asio::io_context& io, tcp::socket& f, tcp::socket& t, bool th)
+        : from(f), to(t), timer(io), there(th) {}
+    tcp::socket &from, &to;
+    asio::steady_timer timer;
+    std::array<char, kPiece> piece;
+    bool there;            // from the one who dialled
+    std::size_t held = 0;  // bytes that a silence holds back
+    bool over = false;     // and the end of the way, that nobody has heard of
+  };
   struct Link {
+    explicit Link(asio::io_context& io)
+        : client(io), server(io), ways{{{io, client, server, true}, {io, server, client, false}}} {}
     tcp::socket client, server;
-    explicit Link(asio::io_context& io) : client(io), server(io) {}
+    std::array<Way, 2> ways;
   };
+  using LinkPtr = std::shared_ptr<Link>;
 
   asio::io_context& io;
   tcp::acceptor acceptor;
   tcp::endpoint target;
-  boost::random::mt19937_64 draws;
+  Random draws;
   std::function<void(const std::string&)> log;
   Fault now;
   Counts counts;
-  std::list<std::shared_ptr<Link>> links;
+  std::list<LinkPtr> links;
   bool closed = false;
 
   State(asio::io_context& context, tcp::endpoint to, std::uint64_t seed,
         std::function<void(const std::string&)> tell)
       : io(context),
-        acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         target(to),
-        draws(seed),
+        draws(seed, "proxy"),
         log(std::move(tell)) {}
 
   void accept() {
     auto link = std::make_shared<Link>(io);
-    acceptor.async_accept(link->client, [self = shared_from_this(), link](boost::system::error_code ec) {
+    acceptor.async_accept(link->client, [self = shared_from_this(), link](error_code ec) {
       if (self->closed) return;
       if (!ec) self->taken(link);
       self->accept();
     });
   }
 
-  void taken(const std::shared_ptr<Link>& link) {
-    if (now.kind == Fault::Kind::cut) {
+  void taken(const LinkPtr& link) {
+    if (now.cut) {
       ++counts.refused;
-      boost::system::error_code ignored;
+      error_code ignored;
       link->client.close(ignored);
       return;
     }
     ++counts.accepted;
     links.push_back(link);
-    link->server.async_connect(target, [self = shared_from_this(), link](boost::system::error_code ec) {
-      if (ec) return self->drop(link, false);
-      self->pump(link, link->client, link->server);
-      self->pump(link, link->server, link->client);
+    link->server.async_connect(target, [self = shared_from_this(), link](error_code ec) {
+      if (ec) return self->drop(link, true);  // as the target itself would refuse, a moment later
+      error_code ignored;
+      link->client.set_option(tcp::no_delay(true), ignored);
+      link->server.set_option(tcp::no_delay(true), ignored);
+      for (Way& way : link->ways) self->read(link, way);
     });
   }
 
-  void drop(const std::shared_ptr<Link>& link, bool reset) {
-    boost::system::error_code ignored;
+  void drop(const LinkPtr& link, bool reset) {
+    error_code ignored;
     if (reset) {
       link->client.set_option(asio::socket_base::linger(true, 0), ignored);
       link->server.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     link->client.close(ignored);
     link->server.close(ignored);
+    for (Way& way : link->ways) way.timer.cancel();
     links.remove(link);
   }
 
-  std::chrono::milliseconds wait() {
-    if (now.kind != Fault::Kind::delay) return std::chrono::milliseconds(0);
-    boost::random::uniform_int_distribution<std::int64_t> jitter(0, now.jitter.count());
-    return now.delay + std::chrono::milliseconds(jitter(draws));
+  bool silent(const Way& way) const { return way.there ? now.silentThere : now.silentBack; }
+
+  std::chrono::microseconds wait(std::size_t bytes) {
+    std::chrono::microseconds time = now.delay;
+    if (now.jitter.count() > 0)
+      time += std::chrono::microseconds(draws.below(static_cast<std::size_t>(now.jitter.count()) * 1000 + 1));
+    while (now.loss < 1 && draws.chance(now.loss)) time += kRetransmit;
+    if (now.kBytesPerS > 0) time += std::chrono::microseconds(bytes * 1000 / now.kBytesPerS);
+    return time;
   }
 
-  // Reads from `from` and writes to `to`; the next read waits until the piece is written, which bounds what
-  // the proxy holds to one piece a direction and lets a delay slow the sender down as a slow link would.
-  void pump(const std::shared_ptr<Link>& link, tcp::socket& from, tcp::socket& to) {
-    auto piece = std::make_shared<std::vector<char>>(16384);
-    from.async_read_some(asio::buffer(*piece), [self = shared_from_this(), link, piece, &from, &to](
-                                                   boost::system::error_code ec, std::size_t n) {
-      if (ec) return self->drop(link, false);
-      piece->resize(n);
-      self->counts.bytes += n;
-      auto timer = std::make_shared<asio::steady_timer>(self->io, self->wait());
-      timer->async_wait([self, link, piece, timer, &from, &to](boost::system::error_code) {
-        if (!to.is_open()) return;
-        asio::async_write(to, asio::buffer(*piece),
-                          [self, link, piece, &from, &to](boost::system::error_code failed, std::size_t) {
-                            if (failed) return self->drop(link, false);
-                            self->pump(link, from, to);
-                          });
-      });
+  void read(const LinkPtr& link, Way& way) {
+    way.from.async_read_some(asio::buffer(way.piece),
+                             [self = shared_from_this(), link, &way](error_code ec, std::size_t n) {
+                               if (ec) return self->ended(link, way, ec != asio::error::eof);
+                               self->counts.bytes += n;
+                               self->pass(link, way, n);
+                             });
+  }
+
+  void ended(const LinkPtr& link, Way& way, bool reset) {
+    if (!way.from.is_open()) return;
+    way.over = silent(way);  // then nobody hears of it yet
+    if (!way.over) drop(link, reset);
+  }
+
+  void pass(const LinkPtr& link, Way& way, std::size_t n) {
+    const auto time = wait(n);
+    if (time.count() == 0) return write(link, way, n);
+    way.timer.expires_after(time);
+    way.timer.async_wait([self = shared_from_this(), link, &way, n](error_code ec) {
+      if (!ec) self->write(link, way, n);
     });
   }
 
+  void write(const LinkPtr& link, Way& way, std::size_t n) {
+    if (!way.to.is_open()) return;
+    way.held = silent(way) ? n : 0;
+    if (way.held > 0) return;  // set() passes it on
+    asio::async_write(way.to, asio::buffer(way.piece, n),
+                      [self = shared_from_this(), link, &way](error_code ec, std::size_t) {
+                        if (ec) return self->drop(link, false);
+                        self->read(link, way);
+                      });
+  }
+
   void set(const Fault& fault) {
     now = fault;
     if (log) log(textOf(fault));
-    if (fault.kind != Fault::Kind::cut && fault.kind != Fault::Kind::reset) return;
-    const bool reset = fault.kind == Fault::Kind::reset;
     for (auto open = links; const auto& link : open) {
-      counts.reset += reset ? 1 : 0;
-      drop(link, reset);
+      if (fault.cut || fault.reset) {
+        counts.reset += fault.reset ? 1 : 0;
+        drop(link, fault.reset);
+        continue;
+      }
+      for (Way& way : link->ways) {
+        if (silent(way)) continue;
+        if (way.over) drop(link, true);
+        else if (way.held > 0) write(link, way, std::exchange(way.held, 0));
+      }
     }
-    if (reset) now = Fault{};  // once: what comes after passes
+    now.reset = false;  // once
   }
 };
 
@@ -131,7 +173,7 @@
 
 FaultProxy::~FaultProxy() {
   state_->closed = true;
-  boost::system::error_code ignored;
+  error_code ignored;
   state_->acceptor.close(ignored);
   for (auto open = state_->links; const auto& link : open) state_->drop(link, false);
 }
--- a/src/lab/gateway_process.cpp
+++ b/src/lab/gateway_process.cpp
@@ -87,7 +87,7 @@
 
 void GatewayProcess::kill(int signal) {
   if (pid_ <= 0) return;
-  killed_ = true;
+  killed_ |= signal == SIGKILL || signal == SIGTERM;
   ::kill(pid_, signal);
 }
 
@@ -110,6 +110,23 @@
   return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
+GatewayProcess::Usage GatewayProcess::usage() const {
+  Usage out;
+  if (pid_ <= 0) return out;
+  const std::filesystem::path proc = "/proc/" + std::to_string(pid_);
+  std::ifstream status(proc / "status");
+  for (std::string line; std::getline(status, line);) {
+    double number = 0;
+    if (std::sscanf(line.c_str(), "VmRSS: %lf", &number) == 1) out.residentMb = number / 1024;
+    if (std::sscanf(line.c_str(), "Threads: %lf", &number) == 1)
+      out.threads = static_cast<std::size_t>(number);
+  }
+  std::error_code ec;
+  for (std::filesystem::directory_iterator it(proc / "fd", ec), end; !ec && it != end; it.increment(ec))
+    ++out.descriptors;
+  return out;
+}
+
 json platformSettings(const ochrehill::Settings& m, const Scenario& s) {
   json grades = json::array();
   for (std::size_t i = 0; i < s.classes.size(); ++i) {
--- a/src/lab/gateway_process.hpp
+++ b/src/lab/gateway_process.hpp
@@ -32,6 +32,12 @@
   bool running();                      // also collects its end
   bool died() const { return died_; }  // ended without having been killed by us
   double cpuSeconds() const;           // user and system time so far; 0 once it has ended
+  struct Usage {
+    double residentMb = 0;
+    std::size_t descriptors = 0, threads = 0;
+  };
+  Usage usage() const;  // now; zeros once it has ended
+  pid_t id() const { return pid_; }
   const Place& place() const { return place_; }
 
   // A gateway is asked with kReadyAsk whether it takes clients, once each kReadyPause, and answers 200 then;
--- a/src/lab/live_day.cpp
+++ b/src/lab/live_day.cpp
@@ -1,12 +1,9 @@
 #include "lab/live_day.hpp"
 
 #include <signal.h>
+#include <sys/resource.h>
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <cstdio>
 #include <deque>
 #include <filesystem>
@@ -18,26 +15,31 @@
 #include <unordered_map>
 
 #include "lab/clients.hpp"
+#include "lab/exchange.hpp"
+#include "lab/front.hpp"
 #include "lab/gateway_process.hpp"
 #include "lab/live_fleet.hpp"
 #include "lab/referee.hpp"
 #include "lab/request_text.hpp"
+#include "lab/rig/links.hpp"
 #include "lab/traffic.hpp"
 
 namespace fennelridge::lab {
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
-using boost::system::error_code;
-using nlohmann::json;
 
 constexpr Duration kSettleIn = std::chrono::seconds(1);
 constexpr Duration kAfterwards = std::chrono::seconds(10);
 constexpr Duration kOperator = std::chrono::seconds(2);
 constexpr Duration kVoid = std::chrono::milliseconds(100);  // one such delay spoils latencies
 constexpr double kVoidShare = 0.01;                         // or so many small ones, against the requests
+constexpr double kSlotS = 0.1;                              // in which what lands at the hosts is counted
+constexpr double kBackS = 2;                                // after gateways came back, for the herd
+// PROTOCOL, figures: after SIGTERM the front goes on for a moment; SIGKILL comes no sooner than this.
+constexpr double kFrontAfterStopS = 0.3, kKillAfterStopS = 3.7;
+constexpr Duration kLookAgain = std::chrono::milliseconds(50);
 
 // The rule on held-back answers is judged from what is under way at the hosts; a live run does not see
 // attempts to connect, so there it would blame the innocent.
@@ -46,79 +48,14 @@
   return rules;
 }
 
-// One request to an address: written whole, its answer read whole. The connection comes back for the next.
-class Exchange : public std::enable_shared_from_this<Exchange> {
- public:
-  struct Outcome {
-    bool connected = false, written = false, answered = false,
-         untouched = true;  // untouched: no byte came back
-    int status = 0;
-    std::string body, retryAfter;
+double childrenCpuSeconds() {  // of those that have ended and were waited for
+  rusage usage{};
+  ::getrusage(RUSAGE_CHILDREN, &usage);
+  const auto seconds = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) + 1e-6 * static_cast<double>(t.tv_usec);
   };
-  using Done = std::function<void(const Outcome&, std::unique_ptr<tcp::socket> kept)>;
-
-  Exchange(std::unique_ptr<tcp::socket> socket, std::string text, std::function<void()> written, Done done)
-      : socket_(std::move(socket)),
-        text_(std::move(text)),
-        written_(std::move(written)),
-        done_(std::move(done)) {}
-
-  void begin(const tcp::endpoint& to) {
-    if (socket_->is_open()) {
-      outcome_.connected = true;
-      return write();
-    }
-    socket_->async_connect(to, [self = shared_from_this()](error_code ec) {
-      if (ec) return self->end();
-      self->outcome_.connected = true;
-      error_code ignored;
-      self->socket_->set_option(tcp::no_delay(true), ignored);
-      self->write();
-    });
-  }
-  void abandon() {  // its client leaves
-    done_ = nullptr;
-    error_code ignored;
-    if (socket_) socket_->close(ignored);
-  }
-
- private:
-  void write() {
-    asio::async_write(*socket_, asio::buffer(text_), [self = shared_from_this()](error_code ec, std::size_t) {
-      if (ec) return self->end();
-      self->outcome_.written = true;
-      if (self->written_) self->written_();
-      self->parser_.body_limit(std::uint64_t{64} << 20);
-      http::async_read(*self->socket_, self->buffer_, self->parser_, [self](error_code bad, std::size_t n) {
-        self->outcome_.untouched = n == 0 && self->buffer_.size() == 0;
-        if (bad) return self->end();
-        auto& message = self->parser_.get();
-        self->outcome_.answered = true;
-        self->outcome_.status = static_cast<int>(message.result_int());
-        self->outcome_.body = std::move(message.body());
-        self->outcome_.retryAfter = std::string(message[http::field::retry_after]);
-        self->end(message.keep_alive());
-      });
-    });
-  }
-  void end(bool keep = false) {
-    if (!done_) return;
-    const Done done = std::exchange(done_, nullptr);
-    if (!keep) {
-      error_code ignored;
-      socket_->close(ignored);
-    }
-    done(outcome_, keep ? std::move(socket_) : nullptr);
-  }
-
-  std::unique_ptr<tcp::socket> socket_;
-  std::string text_;
-  std::function<void()> written_;
-  Done done_;
-  boost::beast::flat_buffer buffer_;
-  http::response_parser<http::string_body> parser_;
-  Outcome outcome_;
-};
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
 
 class LiveDay : public LiveEyes {
  public:
@@ -131,22 +68,20 @@
         rules_(liveRules(scenario.rules)),
         referee_(rules_, scenario.classes),
         fleet_(io_, clock_, scenario, seed, this),
+        links_(
+            io_, rig(), gatewayCount(), seed, [this](std::uint32_t g) { return fleet_.discoveryOf(g); },
+            [this](std::uint32_t h) { return fleet_.endpointOf(h); }),
         front_(seed, "front") {
-    // Proxies first: they hold their ports, where freeAddress only names a port that was free, which a proxy
-    // bound after it could take.
-    const std::size_t count = fleet_.layout().gatewayZones.size();
-    for (std::uint32_t g = 0; g < count; ++g) {
+    fleet_.setView([this](std::uint32_t g, std::uint32_t h) { return links_.hostOf(g, h); });
+    landed_.slotS = kSlotS;
+    // Proxies hold their ports, where freeAddress only names one that was free; so they come first.
+    for (std::uint32_t g = 0; g < gatewayCount(); ++g) fleet_.list(g);
+    for (std::uint32_t g = 0; g < gatewayCount(); ++g) {
       Gateway& gate = gateways_.emplace_back();
       gate.zone = fleet_.layout().gatewayZones[g];
-      if (!options.discoveryFaults.empty())  // free while off: no proxy at all
-        gate.discovery = std::make_unique<FaultProxy>(io_, fleet_.discoveryOf(g), seed ^ g);
-    }
-    for (std::uint32_t g = 0; g < count; ++g) {
-      Gateway& gate = gateways_[g];
       gate.process = std::make_unique<GatewayProcess>(
           options.gateway,
-          GatewayProcess::Place{"g" + std::to_string(g), freeAddress(), freeAddress(),
-                                gate.discovery ? gate.discovery->address() : fleet_.discoveryOf(g),
+          GatewayProcess::Place{"g" + std::to_string(g), freeAddress(), freeAddress(), links_.discoveryOf(g),
                                 std::filesystem::path(options.folder) / ("g" + std::to_string(g))});
     }
   }
@@ -154,12 +89,15 @@
   LiveResult play();
 
   // What hosts and discovery saw.
+  void connected(Time now, std::uint32_t host) override {
+    if (begin_ > Time{}) landed_.handshake(toSeconds(now - begin_), host);
+  }
   void arrived(Time now, std::uint64_t id, std::uint32_t host) override {
     const std::uint32_t gateway = gatewayOf(id);
     ++tally_.attempts;
     if (gateway == UINT32_MAX) return;
     referee_.sent(now, id, gateway, host);
-    land(now, host);
+    if (begin_ > Time{}) landed_.request(toSeconds(now - begin_), host, fleet_.holds(host));
     if (host < fleet_.layout().hosts.size() && fleet_.layout().hosts[host].zone != gateways_[gateway].zone)
       ++tally_.crossings;
   }
@@ -183,16 +121,18 @@
  private:
   struct Gateway {
     std::unique_ptr<GatewayProcess> process;
-    std::unique_ptr<FaultProxy> discovery;  // only where faults are asked for
     std::uint32_t zone = 0;
     unsigned starts = 0;
     bool ready = false, seenAlive = false;
+    bool killed = false;  // by SIGKILL, and not ready since: it owes nothing
+    Time pausedAt = kNever, resumedAt{};
+    Time stoppedAt = kNever;  // SIGTERM
     std::vector<std::unique_ptr<tcp::socket>> idle;
   };
   struct Try {
     std::uint64_t id = 0;
     std::uint32_t wish = 0, gateway = 0;
-    Time deadline{};
+    Time sentAt{}, deadline{};
     bool over = false, again = false, wrote = false;
     std::weak_ptr<Exchange> exchange;
   };
@@ -206,9 +146,23 @@
   void operatorCall(const std::string& target);
   void handMoves();
   void eachSecond();
-  void land(Time now, std::uint32_t host);
-  void rigWindows();
-  void rigEvent(std::uint32_t gateway, const std::string& what);
+  const RigPlan& rig() const {
+    static const RigPlan none;
+    return options_.rig ? *options_.rig : none;
+  }
+  std::uint32_t gatewayCount() const {
+    return static_cast<std::uint32_t>(fleet_.layout().gatewayZones.size());
+  }
+  void beginRig();
+  void makeMove(const RigMove& move);
+  void moveGateway(const RigMove& move, std::uint32_t gateway);
+  void endMove(const RigMove& move, std::uint32_t gateway);
+  void awaitBack(std::string name, std::vector<std::uint32_t> who, Time until);
+  void killGateway(std::uint32_t number, Duration noticed);
+  bool wasPaused(const Try& t) const;
+  void event(const std::string& what);
+  std::vector<std::size_t> hostsRunning(double fromS, double toS) const;
+  void judgeSpread(LiveResult& result);
   std::string textOf(const Try& t) const;
 
   const Scenario& s_;
@@ -220,6 +174,7 @@
   RulesSpec rules_;
   Referee referee_;
   LiveFleet fleet_;
+  RigLinks links_;
   Random front_;
   std::deque<Gateway> gateways_;
   std::unique_ptr<Traffic> traffic_;
@@ -235,66 +190,146 @@
   std::string note_;
   Landed landed_;
   std::vector<std::string> events_;
+  std::vector<PhaseSpread> back_;
+  double connectionsSum_ = 0, connectionsCount_ = 0;
 };
 
-void LiveDay::land(Time now, std::uint32_t host) {
-  if (now < begin_ || begin_ == Time{} || host >= fleet_.hosts()) return;
-  const auto second = static_cast<std::size_t>(toSeconds(now - begin_));
-  while (landed_.seconds.size() <= second) {
-    landed_.seconds.emplace_back(fleet_.hosts(), 0);
-    landed_.peak.emplace_back(fleet_.hosts(), 0);
-  }
-  ++landed_.seconds[second][host];
-  std::uint32_t& peak = landed_.peak[second][host];
-  peak = std::max(peak, static_cast<std::uint32_t>(fleet_.holds(host)));
-}
+// --- The rig ----------------------------------------------------------------------------------------------
 
-void LiveDay::rigEvent(std::uint32_t gateway, const std::string& what) {
+void LiveDay::event(const std::string& what) {
   char at[32];
-  std::snprintf(at, sizeof at, "%.3f g%u ", toSeconds(clock_.now() - begin_), gateway);
+  std::snprintf(at, sizeof at, "%.3f ", toSeconds(clock_.now() - begin_));
   events_.push_back(at + what);
+  note_ = what;
 }
 
-// The rig's faults and pauses, each at its time; the end of a window brings the gateway back as it was.
-void LiveDay::rigWindows() {
-  const auto each = [&](const LiveOptions::Window& w, auto begin, auto end) {
-    for (std::uint32_t g = 0; g < gateways_.size(); ++g) {
-      if (w.every == 0 || g % w.every != w.offset) continue;
-      clock_.at(begin_ + fromSeconds(w.fromS), [=] { begin(g); });
-      clock_.at(begin_ + fromSeconds(w.fromS + w.forS), [=] { end(g); });
-    }
+void LiveDay::beginRig() {
+  for (std::size_t i = 0; i < rig().faults.size(); ++i) {
+    const RigFault& f = rig().faults[i];
+    const std::string where =
+        (f.toHosts() ? "hosts " + f.hostsText : "discovery") + " of gateways " + f.gatewaysText;
+    clock_.at(begin_ + fromSeconds(f.fromS), [this, i, where] {
+      event(where + ": " + lab::textOf(rig().faults[i].fault));
+      links_.begin(i);
+    });
+    clock_.at(begin_ + fromSeconds(f.fromS + f.forS), [this, i, where] {
+      event(where + ": over");
+      links_.end(i);
+    });
+  }
+  for (const RigMove& move : rig().moves)
+    clock_.at(begin_ + fromSeconds(move.atS), [this, &move] { makeMove(move); });
+}
+
+void LiveDay::makeMove(const RigMove& move) {
+  event(move.whatText + " gateways " + move.gatewaysText);
+  const std::vector<std::uint32_t> who = move.gateways.of(gatewayCount());
+  for (std::size_t i = 0; i < who.size(); ++i) {
+    const double turn = move.overS * static_cast<double>(i) / static_cast<double>(who.size());
+    clock_.at(clock_.now() + fromSeconds(turn), [this, &move, g = who[i]] { moveGateway(move, g); });
+    clock_.at(clock_.now() + fromSeconds(turn + move.forS), [this, &move, g = who[i]] { endMove(move, g); });
+  }
+  const Time over = clock_.now() + fromSeconds(move.overS + move.forS);
+  clock_.at(over,
+            [this, &move, who, over] { awaitBack(move.whatText, who, over + GatewayProcess::kReadyWithin); });
+}
+
+void LiveDay::moveGateway(const RigMove& move, std::uint32_t number) {
+  Gateway& g = gateways_[number];
+  switch (move.what) {
+    case RigMove::What::kill: return killGateway(number, fromSeconds(s_.gateways.noticeS.draw(front_)));
+    case RigMove::What::pause: g.pausedAt = clock_.now(); return g.process->kill(SIGSTOP);
+    case RigMove::What::stop:
+      g.stoppedAt = clock_.now();
+      g.process->kill(SIGTERM);
+      return clock_.at(clock_.now() + fromSeconds(kFrontAfterStopS), [&g] {
+        if (g.stoppedAt != kNever) g.seenAlive = false;
+      });
+  }
+}
+
+void LiveDay::endMove(const RigMove& move, std::uint32_t number) {
+  Gateway& g = gateways_[number];
+  if (move.what == RigMove::What::pause) {
+    g.resumedAt = clock_.now();
+    referee_.resumed(g.resumedAt, number, g.pausedAt);
+    return g.process->kill(SIGCONT);
+  }
+  if (move.what == RigMove::What::stop && g.process->running()) {
+    if (clock_.now() - g.stoppedAt < fromSeconds(kKillAfterStopS))
+      return clock_.at(clock_.now() + kLookAgain, [this, &move, number] { endMove(move, number); });
+    killGateway(number, Duration{});
+  }
+  g.process->running();
+  g.ready = false;
+  g.stoppedAt = kNever;
+  startGateway(number);
+}
+
+// The herd is looked for once all of them take clients again.
+void LiveDay::awaitBack(std::string name, std::vector<std::uint32_t> who, Time until) {
+  bool all = true;
+  for (std::uint32_t g : who) all &= gateways_[g].ready;
+  if (all) {
+    event(name + ": all back");
+    const double from = toSeconds(clock_.now() - begin_);
+    back_.push_back({std::move(name), from, from + kBackS, {}});
+  } else if (clock_.now() < until) {
+    clock_.at(clock_.now() + kLookAgain, [this, name, who, until] { awaitBack(name, who, until); });
+  }
+}
+
+void LiveDay::killGateway(std::uint32_t number, Duration noticed) {
+  Gateway& g = gateways_[number];
+  g.process->kill(SIGKILL);
+  g.killed = true;
+  g.ready = false;
+  g.idle.clear();
+  clock_.at(clock_.now() + noticed, [&g] {
+    if (!g.ready) g.seenAlive = false;
+  });
+}
+
+// A stopped process can't answer; what it held or was sent then is owed nothing, and is late in the figures.
+bool LiveDay::wasPaused(const Try& t) const {
+  const Gateway& g = gateways_[t.gateway];
+  return g.pausedAt != kNever && (g.resumedAt < g.pausedAt || t.sentAt < g.resumedAt);
+}
+
+// Over the hosts that ran all through it: of the others less is expected.
+std::vector<std::size_t> LiveDay::hostsRunning(double fromS, double toS) const {
+  std::vector<std::size_t> out;
+  for (std::size_t h = 0; h < tally_.load.size(); ++h) {
+    bool up = true;
+    for (auto s = static_cast<std::size_t>(fromS); s < tally_.load[h].size() && static_cast<double>(s) < toS;
+         ++s)
+      up &= tally_.load[h][s] >= 0;
+    if (up && tally_.load[h].size() > static_cast<std::size_t>(fromS)) out.push_back(h);
+  }
+  return out;
+}
+
+void LiveDay::judgeSpread(LiveResult& result) {
+  const auto over = [&](double from, double to) {
+    return spreadOf(landed_, from, to, hostsRunning(from, to));
   };
-  for (const LiveOptions::DiscoveryFault& f : options_.discoveryFaults)
-    each(
-        f,
-        [this, fault = f.fault](std::uint32_t g) {
-          gateways_[g].discovery->set(fault);
-          rigEvent(g, "discovery " + lab::textOf(fault));
-        },
-        [this](std::uint32_t g) {
-          gateways_[g].discovery->set(Fault{});
-          rigEvent(g, "discovery pass");
-        });
-  for (const LiveOptions::Window& p : options_.pauses)
-    each(
-        p,
-        [this](std::uint32_t g) {
-          gateways_[g].process->kill(SIGSTOP);
-          rigEvent(g, "paused");
-        },
-        [this](std::uint32_t g) {
-          gateways_[g].process->kill(SIGCONT);
-          rigEvent(g, "resumed");
-        });
+  result.spread = over(rig().within.fromS, s_.lengthS);
+  for (PhaseSpread& phase : back_) phase.spread = over(phase.fromS, phase.toS);
+  result.back = std::move(back_);
+  result.landed = std::move(landed_);
+  result.events = std::move(events_);
+  result.hostConnections = connectionsCount_ > 0 ? connectionsSum_ / connectionsCount_ : 0;
 }
 
+// --- Gateways ---------------------------------------------------------------------------------------------
+
 void LiveDay::startGateway(std::uint32_t number) {
   Gateway& g = gateways_[number];
   const std::uint64_t start[2] = {number, g.starts++};
   const std::uint64_t seed = XXH3_64bits_withSeed(start, sizeof start, seed_);
   const ochrehill::Settings module = moduleSettings(s_, number, s_.zones[g.zone].name, seed);
   referee_.gatewayStarted(number);
-  g.process->start(platformSettings(module, s_), fleet_.list(), seed);
+  g.process->start(platformSettings(module, s_), fleet_.list(number), seed);
   askReady(number, clock_.now());
 }
 
@@ -309,8 +344,10 @@
       std::make_unique<tcp::socket>(io_), GatewayProcess::kReadyAsk, nullptr,
       [this, number, since](const Exchange::Outcome& o, std::unique_ptr<tcp::socket>) {
         Gateway& gate = gateways_[number];
-        if (o.status == 200) gate.ready = gate.seenAlive = true;
-        else
+        if (o.status == 200) {
+          gate.ready = gate.seenAlive = true;
+          gate.killed = false;
+        } else
           clock_.at(clock_.now() + GatewayProcess::kReadyPause,
                     [this, number, since] { askReady(number, since); });
       });
@@ -356,13 +393,15 @@
     if (gateways_[g].zone == clients_->what(wish).zone) near.push_back(g);
   }
   const std::vector<std::uint32_t>& from = near.empty() ? any : near;
-  t->gateway = static_cast<std::uint32_t>(from.empty() ? front_.below(gateways_.size())
-                                                       : from[front_.below(from.size())]);
+  t->gateway = from.empty() ? static_cast<std::uint32_t>(front_.below(gateways_.size()))
+                            : chooseAtFront(s_.gateways, from, front_);
+  t->sentAt = clock_.now();
   ++tries_;
   sendTry(t);
   clock_.at(t->deadline + fromMillis(rules_.answerSlackMs), [this, t] {
     if (t->over) return;
-    referee_.clientGaveUp(clock_.now(), t->id);
+    if (wasPaused(*t)) referee_.excused(t->id);
+    else referee_.clientGaveUp(clock_.now(), t->id);
     endTry(t, TryEnd::unanswered, {});
   });
   if (plan.leaves)
@@ -416,8 +455,7 @@
           t->again = true;
           return sendTry(t);
         }
-        const bool alive = gateways_[t->gateway].ready && gateways_[t->gateway].process->running();
-        if (!t->wrote || !o.connected || !alive) referee_.excused(t->id);
+        if (!t->wrote || !o.connected || gateways_[t->gateway].killed) referee_.excused(t->id);
         else referee_.clientGaveUp(clock_.now(), t->id);  // a living gateway broke it off: lost
         endTry(t, o.written ? TryEnd::failed : TryEnd::unreachable, {});
       });
@@ -492,6 +530,8 @@
     const bool running = fleet_.running(h);
     tally_.load[h].push_back(running ? static_cast<float>(fleet_.holds(h)) / cores : -1.0f);
     up += running, held += fleet_.holds(h);
+    connectionsSum_ += static_cast<double>(fleet_.connections(h));
+    connectionsCount_ += 1;
   }
   tally_.cutoffs.push_back(0);
   if (options_.showEachSecond) {
@@ -506,6 +546,7 @@
 }
 
 LiveResult LiveDay::play() {
+  const double cpuBefore = childrenCpuSeconds();
   for (std::uint32_t g = 0; g < gateways_.size(); ++g) startGateway(g);
   const auto everybodyReady = [&] {
     for (const Gateway& g : gateways_)
@@ -530,45 +571,40 @@
           startGateway(g);
           continue;
         }
-        gate.process->kill(SIGKILL);
-        gate.ready = false;
-        gate.idle.clear();
-        clock_.at(clock_.now() + fromSeconds(s_.gateways.noticeS.draw(front_)), [this, g] {
-          if (!gateways_[g].ready) gateways_[g].seenAlive = false;
-        });
+        killGateway(g, fromSeconds(s_.gateways.noticeS.draw(front_)));
       }
     });
     eachSecond();
   });
   if (options_.demo) handMoves();
-  rigWindows();
+  beginRig();
   nextFirstTry();
   const Time end = begin_ + fromSeconds(s_.lengthS);
-  LiveResult result{{s_.name, seed_, Tally(s_), {}, {}, 0, 0}, false, {}, 0, 0, 0, false, {}, {}, {}};
+  LiveResult result(DayResult{s_.name, seed_, Tally(s_), {}, {}, 0, 0});
   while (!stopped() && !failed_ && clock_.now() < end + kAfterwards &&
          !(trafficOver_ && clients_->open() == 0 && clock_.now() >= end))
     io_.run_for(std::chrono::milliseconds(20));
   result.stopped = stopped();
-  double cpu = 0;
   for (Gateway& g : gateways_) {
-    cpu += g.process->cpuSeconds();
+    const GatewayProcess::Usage usage = g.process->usage();
+    result.gatewayMemoryMb = std::max(result.gatewayMemoryMb, usage.residentMb);
+    result.gatewayDescriptors = std::max(result.gatewayDescriptors, static_cast<double>(usage.descriptors));
     g.process->running();
     result.gatewaysDied += g.process->died() ? 1 : 0;
-    if (!options_.pauses.empty()) g.process->kill(SIGCONT);  // a stopped process would not heed SIGTERM
+    g.process->kill(SIGCONT);  // a stopped process would not heed SIGTERM
     g.process->kill(SIGTERM);
   }
   const Time patience = clock_.now() + std::chrono::seconds(5);
   for (Gateway& g : gateways_)
     while (g.process->running() && clock_.now() < patience) io_.run_for(std::chrono::milliseconds(20));
   if (failed_) throw std::runtime_error(failure_);
+  const double cpu = childrenCpuSeconds() - cpuBefore;
   tally_.workDone = tally_.workUseful = fleet_.workDone();  // what was useful is not seen from here
   tally_.troubles = fleet_.plan().times;
   result.day = DayResult{
       s_.name, seed_, tally_, referee_.counts(), referee_.first(), toSeconds(clock_.now() - begin_), tries_};
   for (Breach& b : result.day.firstBreaches) b.at -= begin_;
-  result.landed = std::move(landed_);
-  result.spread = spreadOf(result.landed, 0, result.landed.seconds.size());
-  result.events = std::move(events_);
+  judgeSpread(result);
   result.gatewayCpuUs = tries_ > 0 ? 1e6 * cpu / static_cast<double>(tries_) : 0;
   result.latestMs = toSeconds(clock_.latest()) * 1e3;
   const double late = static_cast<double>(clock_.late());
--- a/src/lab/live_day.hpp
+++ b/src/lab/live_day.hpp
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
-#include "lab/faults/proxy.hpp"
+#include "lab/rig/plan.hpp"
 #include "lab/rig/spread.hpp"
 #include "lab/scenario.hpp"
 #include "lab/tally.hpp"
@@ -21,35 +23,34 @@
   // killed.
   bool demo = false;
   std::function<bool()> stopped;  // asked now and then: true ends the day early
+  const RigPlan* rig = nullptr;   // faults between the processes, and what is done to them; none
+};
 
-  // Of the rig (issue 24). Each names the gateways g with g % every == offset, and a window in seconds from
-  // the start of traffic. A fault stands in a proxy between each named gateway and its discovery; without
-  // any, gateways talk to discovery straight. A pause stops each named gateway (SIGSTOP) and resumes it.
-  struct Window {
-    std::uint32_t every = 1, offset = 0;
-    double fromS = 0, forS = 0;
-  };
-  struct DiscoveryFault : Window {
-    Fault fault;
-  };
-  std::vector<DiscoveryFault> discoveryFaults;
-  std::vector<Window> pauses;
+struct PhaseSpread {  // of a stretch of the day, over the hosts that ran all through it
+  std::string name;
+  double fromS = 0, toS = 0;
+  Spread spread;
 };
 
 struct LiveResult {
+  explicit LiveResult(DayResult d) : day(std::move(d)) {}
   DayResult day;
   bool isVoid = false;  // the laboratory itself ran late: the figures mean nothing
   std::string voidReason;
-  double latestMs = 0;        // longest that the laboratory did something after its time
-  double gatewayCpuUs = 0;    // of all gateways, for each request
-  unsigned gatewaysDied = 0;  // without having been killed by the laboratory
+  double latestMs = 0;      // longest that the laboratory did something after its time
+  double gatewayCpuUs = 0;  // of all gateways, for each request
+  double gatewayMemoryMb = 0, gatewayDescriptors = 0;  // of one process, at the end: the most of any
+  double hostConnections = 0;                          // open at one host: mean over hosts and seconds
+  unsigned gatewaysDied = 0;                           // without having been killed by the laboratory
   bool stopped = false;
-  Landed landed;  // at the hosts, each second of traffic: requests that arrived, most held at one arrival
-  Spread spread;  // over all seconds of traffic
-  std::vector<std::string> events;  // faults and pauses as carried out: "12.000 g3 discovery cut"
+  Landed landed;                    // at the hosts
+  Spread spread;                    // from the plan's `from_s` on
+  std::vector<PhaseSpread> back;    // the 2 s after a move's gateways were all back
+  std::vector<std::string> events;  // faults and moves as carried out: "12.000 kill gateways 0-6"
 };
 
-// Throws std::runtime_error with one line when a gateway can't be started or is not ready within 10 s.
+// Throws std::runtime_error with one line when a gateway can't be started or is not ready within
+// GatewayProcess::kReadyWithin.
 LiveResult playLive(const Scenario& scenario, std::uint64_t seed, const LiveOptions& options);
 
 }  // namespace fennelridge::lab
--- a/src/lab/live_fleet.cpp
+++ b/src/lab/live_fleet.cpp
@@ -246,6 +246,7 @@
         [this, number, self = shared_from_this()](error_code ec, tcp::socket socket) {
           if (ec) return;
           Host& h = hosts[number];
+          if (eyes) eyes->connected(clock.now(), number);
           if (h.model.openConnection()) {
             auto connection = std::make_shared<Connection>(
                 std::move(socket),
@@ -437,12 +438,13 @@
     });
   }
 
-  json entryOf(const Listed& l) const {
+  json entryOf(const Listed& l, std::uint32_t gateway) const {
     const Host& h = hosts[l.host];
+    const tcp::endpoint seen = view ? view(gateway, l.host) : h.endpoint;
     std::int64_t boot = 0;
     if (l.started > Time{}) boot = (l.started + unixBegin).count() / 1000000;
     return {{"uid", uidOf(l.host)},
-            {"endpoint", "127.0.0.1:" + std::to_string(h.endpoint.port())},
+            {"endpoint", "127.0.0.1:" + std::to_string(seen.port())},
             {"az", s.zones[h.place.zone].name},
             {"model", s.hosts.kinds[h.place.kind].name},
             {"pod_group", h.place.cell},
@@ -454,11 +456,11 @@
   }
   static std::string uidOf(std::uint32_t host) { return "host-" + std::to_string(host); }
 
-  json listSince(std::uint64_t since, std::vector<Listed>& entries) const {
+  json listSince(std::uint64_t since, std::uint32_t gateway, std::vector<Listed>& entries) const {
     bool whole = false;
     entries = discovery.since(since, whole);
     json out{{"rev", discovery.revision()}, {"all", whole}, {"targets", json::array()}};
-    for (const Listed& l : entries) out["targets"].push_back(entryOf(l));
+    for (const Listed& l : entries) out["targets"].push_back(entryOf(l, gateway));
     return out;
   }
 
@@ -466,7 +468,7 @@
     const auto c = w.connection.lock();
     if (!c || !c->open()) return;
     std::vector<Listed> entries;
-    const json out = listSince(w.since, entries);
+    const json out = listSince(w.since, w.gateway, entries);
     for (const Listed& l : entries) {
       if (l.phase == Phase::out) told[w.gateway].erase(l.host);
       else told[w.gateway][l.host] = l.started;
@@ -605,6 +607,7 @@
   DiscoveryModel discovery;
   Random network;
   Duration unixBegin{};
+  View view;
   std::deque<Host> hosts;
   std::deque<Door> doors;
   std::set<Connection*> fresh;         // no request has come on it yet
@@ -639,16 +642,19 @@
   return impl_->doors.at(gateway).endpoint;
 }
 tcp::endpoint LiveFleet::endpointOf(std::uint32_t host) const { return impl_->hosts.at(host).endpoint; }
-json LiveFleet::list() const {
+void LiveFleet::setView(View view) { impl_->view = std::move(view); }
+json LiveFleet::list(std::uint32_t gateway) const {
   std::vector<Listed> entries;
-  json out = impl_->listSince(0, entries);
-  return out;
+  return impl_->listSince(0, gateway, entries);
 }
 const Layout& LiveFleet::layout() const { return impl_->layout; }
 const Plan& LiveFleet::plan() const { return impl_->plan; }
 std::string LiveFleet::uidOf(std::uint32_t host) const { return Impl::uidOf(host); }
 std::size_t LiveFleet::hosts() const { return impl_->hosts.size(); }
 std::size_t LiveFleet::holds(std::uint32_t host) const { return impl_->hosts.at(host).model.holds(); }
+std::size_t LiveFleet::connections(std::uint32_t host) const {
+  return impl_->hosts.at(host).connections.size();
+}
 bool LiveFleet::running(std::uint32_t host) const {
   return impl_->hosts.at(host).model.running() && !impl_->hosts[host].cut;
 }
--- a/src/lab/live_fleet.hpp
+++ b/src/lab/live_fleet.hpp
@@ -48,6 +48,7 @@
 // What hosts and discovery saw, for a referee. Ids are X-Request-Id read as hexadecimal.
 struct LiveEyes {
   virtual ~LiveEyes() = default;
+  virtual void connected(Time now, std::uint32_t host) = 0;                  // a new connection came up
   virtual void arrived(Time now, std::uint64_t id, std::uint32_t host) = 0;  // whole; taken or turned away
   virtual void reached(Time now, std::uint64_t id, std::uint64_t attempt, std::uint32_t host) = 0;  // taken
   virtual void notRun(std::uint64_t id, std::uint64_t attempt) = 0;  // the host said so
@@ -66,12 +67,16 @@
 
   boost::asio::ip::tcp::endpoint discoveryOf(std::uint32_t gateway) const;
   boost::asio::ip::tcp::endpoint endpointOf(std::uint32_t host) const;
-  nlohmann::json list() const;  // whole, in discovery's form
+  // Where a gateway is told that a host is; without, where it really is.
+  using View = std::function<boost::asio::ip::tcp::endpoint(std::uint32_t gateway, std::uint32_t host)>;
+  void setView(View view);
+  nlohmann::json list(std::uint32_t gateway) const;  // whole, in discovery's form, as a gateway is told it
   const Layout& layout() const;
   const Plan& plan() const;
   std::string uidOf(std::uint32_t host) const;
   std::size_t hosts() const;
   std::size_t holds(std::uint32_t host) const;
+  std::size_t connections(std::uint32_t host) const;
   bool running(std::uint32_t host) const;
   double workDone() const;
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -20,6 +20,7 @@
   addSweep(app, result);
   addReport(app, result);
   addLive(app, result);
+  addRig(app, result);
   addEmulate(app, result);
   addDemo(app, result);
   addLoad(app, result);
--- a/src/lab/overhead.cpp
+++ b/src/lab/overhead.cpp
@@ -41,7 +41,7 @@
       std::unique_ptr<LiveFleet> fleet;
       try {
         fleet = std::make_unique<LiveFleet>(io, clock, scenario, seed, nullptr);
-        Address a{fleet->list(), fleet->discoveryOf(0), {}};
+        Address a{fleet->list(0), fleet->discoveryOf(0), {}};
         for (std::uint32_t h = 0; h < fleet->hosts(); ++h) a.hosts.push_back(fleet->endpointOf(h));
         ready.set_value(std::move(a));
       } catch (...) {
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -127,6 +127,11 @@
   std::erase_if(barred_, [&](const auto& entry) { return entry.first >> 32 == gateway; });
 }
 
+void Referee::resumed(Time now, std::uint32_t gateway, Time pausedAt) {
+  for (auto& [pair, told] : barred_)
+    if (pair >> 32 == gateway && told >= pausedAt) told = now;
+}
+
 void Referee::fell(Time now, std::uint32_t host, double knownShare, double pushed, double borne) {
   constexpr double kShareThatBreaks = 2.0 / 3;
   if (knownShare < kShareThatBreaks) return;
--- a/src/lab/referee.hpp
+++ b/src/lab/referee.hpp
@@ -58,6 +58,8 @@
   // Discovery has told a gateway of a host.
   void told(Time now, std::uint32_t gateway, std::uint32_t host, ochrehill::Phase phase);
   void gatewayStarted(std::uint32_t gateway);  // it knows nothing any more
+  // A gateway was stopped (SIGSTOP) and runs again: what it was told meanwhile counts as told now.
+  void resumed(Time now, std::uint32_t gateway, Time pausedAt);
   // A cold host fell over; `knownShare` of the push came from gateways that had been told of its start.
   void fell(Time now, std::uint32_t host, double knownShare, double pushed, double borne);
 
--- /dev/null
+++ b/src/lab/rig/links.cpp
@@ -0,0 +1,77 @@
+#include "lab/rig/links.hpp"
+
+#include <algorithm>
+
+namespace fennelridge::lab {
+
+RigLinks::RigLinks(boost::asio::io_context& io, const RigPlan& plan, std::uint32_t gateways,
+                   std::uint64_t seed, Place discovery, Place host)
+    : io_(io),
+      plan_(plan),
+      seed_(seed),
+      discovery_(std::move(discovery)),
+      host_(std::move(host)),
+      on_(plan.faults.size(), false),
+      discoveries_(gateways),
+      groups_(gateways) {
+  for (std::size_t f = 0; f < plan.faults.size(); ++f)
+    for (const std::uint32_t g : plan.faults[f].gateways.of(gateways)) {
+      if (plan.faults[f].toHosts()) groups_[g].push_back(f);
+      else if (!discoveries_[g])
+        discoveries_[g] = std::make_unique<FaultProxy>(io, discovery_(g), seed ^ (g + 1));
+    }
+}
+
+RigLinks::Endpoint RigLinks::discoveryOf(std::uint32_t gateway) const {
+  return discoveries_.at(gateway) ? discoveries_[gateway]->address() : discovery_(gateway);
+}
+
+RigLinks::Endpoint RigLinks::hostOf(std::uint32_t gateway, std::uint32_t host) {
+  const Group& group = groups_.at(gateway);
+  if (std::none_of(group.begin(), group.end(),
+                   [&](std::size_t f) { return plan_.faults[f].hosts.has(host); }))
+    return host_(host);
+  std::unique_ptr<FaultProxy>& proxy = hosts_[{group, host}];
+  if (!proxy) {
+    proxy = std::make_unique<FaultProxy>(io_, host_(host), seed_ ^ (0x10000ULL + hosts_.size()));
+    proxy->set(at(group, host));
+  }
+  return proxy->address();
+}
+
+void RigLinks::turn(std::size_t fault, bool on) {
+  on_.at(fault) = on;
+  const RigFault& changed = plan_.faults[fault];
+  if (changed.toHosts()) {
+    for (auto& [place, proxy] : hosts_) {
+      const auto& [group, host] = place;
+      if (changed.hosts.has(host) && std::find(group.begin(), group.end(), fault) != group.end())
+        proxy->set(at(group, host));
+    }
+    return;
+  }
+  for (std::uint32_t g = 0; g < discoveries_.size(); ++g)
+    if (changed.gateways.has(g)) discoveries_[g]->set(at(g));
+}
+
+Fault RigLinks::at(std::uint32_t gateway) const {
+  Fault sum;
+  for (std::size_t f = 0; f < on_.size(); ++f)
+    if (on_[f] && !plan_.faults[f].toHosts() && plan_.faults[f].gateways.has(gateway))
+      sum = together(sum, plan_.faults[f].fault);
+  return sum;
+}
+
+Fault RigLinks::at(const Group& group, std::uint32_t host) const {
+  Fault sum;
+  for (const std::size_t f : group)
+    if (on_[f] && plan_.faults[f].hosts.has(host)) sum = together(sum, plan_.faults[f].fault);
+  return sum;
+}
+
+std::size_t RigLinks::proxies() const {
+  return hosts_.size() + static_cast<std::size_t>(std::count_if(discoveries_.begin(), discoveries_.end(),
+                                                                [](const auto& p) { return p != nullptr; }));
+}
+
+}  // namespace fennelridge::lab
--- /dev/null
+++ b/src/lab/rig/plan.hpp
@@ -0,0 +1,78 @@
+// A rig file: which scenario many real gateways play, what is put between them and the other parties, what is
+// done to their processes, and within which bounds the day has to end. Pure; reading says every mistake.
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lab/faults/fault.hpp"
+#include "lab/fields.hpp"
+#include "lab/scenario.hpp"
+
+namespace fennelridge::lab {
+
+// Some of a numbered row, as text: parts joined by commas, each "all", "N", "A-B", or "EVERY:OFFSET" (those
+// whose number modulo EVERY is OFFSET); one part with a "!" before it is taken away from the others.
+class Pickout {
+ public:
+  Pickout() = default;  // none
+  // Throws std::invalid_argument with one line on what would be right.
+  explicit Pickout(std::string_view text);
+  bool has(std::uint32_t number) const;
+  std::vector<std::uint32_t> of(std::uint32_t count) const;  // those under `count`
+
+ private:
+  struct Part {
+    std::uint32_t first = 0, last = UINT32_MAX, every = 1, offset = 0;
+    bool without = false;
+  };
+  std::vector<Part> parts_;
+};
+
+struct RigFault {  // on the links between some gateways and their discovery, or some hosts
+  double fromS = 0, forS = 0;
+  std::string gatewaysText = "all", hostsText = "all", to = "discovery", faultText = "cut";
+  Pickout gateways, hosts;
+  Fault fault;
+  bool toHosts() const { return to == "hosts"; }
+};
+
+struct RigMove {  // of gateway processes
+  double atS = 0, forS = 1, overS = 0;
+  std::string gatewaysText = "all", whatText = "kill";
+  Pickout gateways;
+  enum class What { pause, kill, stop } what = What::kill;
+};
+
+struct RigBounds {                                          // of a day; a negative figure is not judged
+  double served = -1;                                       // least share of the worth earned in time
+  double maxOverMean = -1, variation = -1, idleHosts = -1;  // most
+  double herdPeak = -1;              // most, in the 2 s after gateways came back; without any, over the day
+  double handshakesPerRequest = -1;  // most
+  double fromS = 0;                  // spread is counted from here on
+};
+
+struct RigPlan {
+  std::string name = "unnamed", about, scenarioFile;
+  std::vector<std::string> set;  // assignments to the scenario's fields, as --set takes them
+  std::vector<RigFault> faults;
+  std::vector<RigMove> moves;
+  RigBounds within;
+};
+
+struct RigReading {
+  RigPlan plan;
+  std::vector<Mistake> mistakes;  // if any, the plan is not to be used
+};
+RigReading readRigPlan(const nlohmann::json& json);
+RigReading loadRigPlan(
+    const std::filesystem::path& file);  // scenarioFile is made relative to the file's folder
+
+std::vector<FieldRow> describeRigPlan();
+
+}  // namespace fennelridge::lab
--- a/src/lab/rig/spread.cpp
+++ b/src/lab/rig/spread.cpp
@@ -4,31 +4,72 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <numeric>
-#include <stdexcept>
 
 namespace fennelridge::lab {
+namespace {
 
-Spread spreadOf(const Landed& landed, std::size_t from, std::size_t to,
-                const std::vector<std::size_t>& hosts) {
-  to = std::min(to, landed.seconds.size());
+using Table = Landed::Table;
+
+double cellOf(const Table& table, std::size_t slot, std::size_t host) {
+  return slot < table.size() && host < table[slot].size() ? table[slot][host] : 0;
+}
+
+}  // namespace
+
+std::uint32_t& Landed::cell(Table& table, double at, std::uint32_t host) {
+  const auto slot = static_cast<std::size_t>(at / slotS);
+  if (table.size() <= slot) table.resize(slot + 1);
+  if (table[slot].size() <= host) table[slot].resize(host + 1);
+  return table[slot][host];
+}
+
+void Landed::request(double at, std::uint32_t host, std::size_t holds) {
+  if (at < 0) return;
+  ++cell(requests, at, host);
+  std::uint32_t& most = cell(peak, at, host);
+  most = std::max(most, static_cast<std::uint32_t>(holds));
+}
+
+void Landed::handshake(double at, std::uint32_t host) {
+  if (at >= 0) ++cell(handshakes, at, host);
+}
+
+Table bySecond(const Table& table, double slotS) {
+  Table out;
+  for (std::size_t slot = 0; slot < table.size(); ++slot) {
+    const auto second = static_cast<std::size_t>(static_cast<double>(slot) * slotS + 1e-9);
+    if (out.size() <= second) out.resize(second + 1);
+    if (out[second].size() < table[slot].size()) out[second].resize(table[slot].size());
+    for (std::size_t h = 0; h < table[slot].size(); ++h) out[second][h] += table[slot][h];
+  }
+  return out;
+}
+
+Spread spreadOf(const Landed& landed, double fromS, double toS, const std::vector<std::size_t>& hosts) {
+  const auto from = static_cast<std::size_t>(std::max(fromS / landed.slotS + 1e-9, 0.0));
+  const auto to =
+      std::min(static_cast<std::size_t>(std::max(toS / landed.slotS + 1e-9, 0.0)), landed.requests.size());
   std::vector<std::size_t> chosen = hosts;
-  if (chosen.empty() && from < to) {
-    chosen.resize(landed.seconds[from].size());
+  if (chosen.empty()) {
+    std::size_t count = 0;
+    for (const auto& row : landed.requests) count = std::max(count, row.size());
+    chosen.resize(count);
     std::iota(chosen.begin(), chosen.end(), std::size_t{0});
   }
   Spread out;
-  if (chosen.empty() || from >= to) return out;
   std::vector<double> totals(chosen.size(), 0), peaks(chosen.size(), 0);
+  double handshakes = 0;
   for (std::size_t s = from; s < to; ++s)
     for (std::size_t i = 0; i < chosen.size(); ++i) {
-      if (chosen[i] >= landed.seconds[s].size()) throw std::invalid_argument("spreadOf: a row lacks a host");
-      totals[i] += landed.seconds[s][chosen[i]];
-      if (s < landed.peak.size() && chosen[i] < landed.peak[s].size())
-        peaks[i] = std::max(peaks[i], static_cast<double>(landed.peak[s][chosen[i]]));
+      totals[i] += cellOf(landed.requests, s, chosen[i]);
+      peaks[i] = std::max(peaks[i], cellOf(landed.peak, s, chosen[i]));
+      handshakes += cellOf(landed.handshakes, s, chosen[i]);
     }
   const double n = static_cast<double>(chosen.size());
-  out.mean = std::accumulate(totals.begin(), totals.end(), 0.0) / n;
-  if (out.mean <= 0) return out;
+  const double all = std::accumulate(totals.begin(), totals.end(), 0.0);
+  if (all <= 0) return out;
+  out.mean = all / n;
+  out.handshakes = handshakes / all;
   double squares = 0;
   for (double t : totals) {
     squares += (t - out.mean) * (t - out.mean);
@@ -42,11 +83,9 @@
 }
 
 nlohmann::json toJson(const Spread& s) {
-  return {{"max_over_mean", s.maxOverMean},
-          {"variation", s.variation},
-          {"idle_hosts", s.idle},
-          {"herd_peak", s.herdPeak},
-          {"mean", s.mean}};
+  return {
+      {"max_over_mean", s.maxOverMean}, {"variation", s.variation}, {"idle_hosts", s.idle},
+      {"herd_peak", s.herdPeak},        {"mean", s.mean},           {"handshakes_per_request", s.handshakes}};
 }
 
 }  // namespace fennelridge::lab
--- a/src/lab/rig/spread.hpp
+++ b/src/lab/rig/spread.hpp
@@ -1,31 +1,45 @@
 // How evenly the work of a fleet of gateways lands on its hosts, counted where it lands: at the hosts.
-// Pure: counts in, figures out. The figures are those of issue 24 and docs/results/even-spread.md.
+// Pure: counts in, figures out.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <vector>
 
 namespace fennelridge::lab {
 
-// Requests that reached each host in each second: seconds[s][h]. Every row has one column a host.
+// What reached each host in each slot of time: requests[t][h]. All rows of a table have a column a host.
 struct Landed {
-  std::vector<std::vector<std::uint32_t>> seconds;
-  std::vector<std::vector<std::uint32_t>> peak;  // most requests held at once, same shape; may be empty
+  using Table = std::vector<std::vector<std::uint32_t>>;
+  double slotS = 1;  // length of a slot
+  Table requests;
+  Table peak;        // most held at once, seen at arrivals
+  Table handshakes;  // connections that came up
+
+  // Counts one thing at `at` seconds from the start; nothing before it. Hosts may still come to be.
+  void request(double at, std::uint32_t host, std::size_t holds);
+  void handshake(double at, std::uint32_t host);
+
+ private:
+  std::uint32_t& cell(Table& table, double at, std::uint32_t host);
 };
 
+// A table of Landed, summed over whole seconds.
+Landed::Table bySecond(const Landed::Table& table, double slotS);
+
 struct Spread {
   double maxOverMean = 0;  // of the hosts' totals over the window; 1 is perfectly even
   double variation = 0;    // coefficient of variation of the totals: standard deviation over mean
   std::uint32_t idle = 0;  // hosts with under a quarter of the mean total
   double herdPeak = 0;     // most held at one host over the mean of the hosts' peaks; 0 without peaks
   double mean = 0;         // requests a host over the window
+  double handshakes = 0;   // for each request
 };
 
-// Over seconds [from, to) of `landed`, hosts in `hosts` only (indices into a row; empty: all). A window
-// without requests gives zeros. Throws std::invalid_argument when a row is shorter than a host index.
-Spread spreadOf(const Landed& landed, std::size_t from, std::size_t to,
-                const std::vector<std::size_t>& hosts = {});
+// Over the time from `fromS` to `toS`, in whole slots, at `hosts` (empty: all that there are). A window
+// without requests gives zeros.
+Spread spreadOf(const Landed& landed, double fromS, double toS, const std::vector<std::size_t>& hosts = {});
 
 nlohmann::json toJson(const Spread& spread);
 
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -33,7 +33,9 @@
 using Gates = GatewaysSpec;
 const std::vector<Field<Gates>> kGateways{
     {"count", "", 1, 1000, "gateways, dealt over the zones", &Gates::count},
-    {"notice_s", "s", 0, 60, "until the front notices a dead gateway", &Gates::noticeS}};
+    {"notice_s", "s", 0, 60, "until the front notices a dead gateway", &Gates::noticeS},
+    {"heavy", "", 0, 1000, "so many, the first, are given more of the traffic", &Gates::heavy},
+    {"heavy_times", "times", 0.01, 1000, "what one of the others gets", &Gates::heavyTimes}};
 
 using Kind = KindSpec;
 const std::vector<Field<Kind>> kKind{
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -76,6 +76,8 @@
 struct GatewaysSpec {
   unsigned count = 4;
   Range noticeS{0.94, 4};  // the front goes on sending to a dead one
+  unsigned heavy = 0;      // the first so many are given `heavyTimes` the traffic of the others
+  double heavyTimes = 20;
 };
 
 struct ClientsSpec {
--- a/src/lab/virtual_fleet.cpp
+++ b/src/lab/virtual_fleet.cpp
@@ -12,6 +12,7 @@
 
 #include "lab/clients.hpp"
 #include "lab/discovery_model.hpp"
+#include "lab/front.hpp"
 #include "lab/layout.hpp"
 #include "lab/lines.hpp"
 #include "lab/referee.hpp"
@@ -391,9 +392,9 @@
 // A plain front spreads clients over the gateways of their zone that it takes for alive; with none, over all.
 std::uint32_t Fleet::chooseGateway(std::uint32_t zone) {
   const std::vector<std::uint32_t>& near = seen_[zone];
-  if (!near.empty()) return near[front_.below(near.size())];
+  if (!near.empty()) return chooseAtFront(s_.gateways, near, front_);
   const std::vector<std::uint32_t>& any = seen_.back();
-  if (!any.empty()) return any[front_.below(any.size())];
+  if (!any.empty()) return chooseAtFront(s_.gateways, any, front_);
   return static_cast<std::uint32_t>(front_.below(gateways_.size()));
 }
 
