Membership of the fleet: SWIM with Lifeguard's suspicion, pure, and its codec

Change: src/membership holds a state machine (probes in turn, indirect probes with nacks, suspicion that shortens with independent accusers, probes stretched while a member is unwell, incarnations, a boot time that sets lives apart, buddy claims, sync by digest, the dead tried again, leave) and a CBOR codec that turns away what is malformed, of another fleet or format. Not linked into the gateway yet. Seen in virtual time: with 20 % loss one of 50 members died falsely within 60 s; the refutation had passed one member by. The fuzz of the codec found that the library throws on an impossible array length though told not to.

--- /dev/null
+++ b/src/membership/codec.hpp
@@ -0,0 +1,30 @@
+// Datagrams of the fleet: one message each, as a CBOR array (RFC 8949). What comes from the network is never
+// trusted: it is a message of our fleet and format, whole and within bounds, or a reason why not.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "membership/membership.hpp"
+
+namespace fennelridge::membership {
+
+inline constexpr std::size_t kDatagramMost = 1400;  // bytes; under the usual path MTU
+inline constexpr std::size_t kNameMost = 64;        // bytes of a member's name
+inline constexpr std::size_t kPayloadMost = 900;
+
+enum class Reject : std::uint8_t { malformed, otherFleet, otherFormat };
+std::string_view nameOf(Reject reject);
+
+// Which fleet a datagram belongs to: a hash of the name that the operators gave it.
+std::uint64_t fleetId(std::string_view name);
+
+std::string encode(const Message& message, std::uint64_t fleet);
+std::variant<Message, Reject> decode(std::string_view datagram, std::uint64_t fleet);
+
+std::string textOf(const Address& address);              // "127.0.0.1:7000"
+bool readAddress(std::string_view text, Address& into);  // false: it is none
+
+}  // namespace fennelridge::membership
