--- a/tests/faults_test.cpp
+++ b/tests/faults_test.cpp
@@ -306,8 +306,10 @@
 TEST(RigPlan, SaysEveryMistakeWithItsPlace) {
   const RigReading good =
       readRigPlan(nlohmann::json::parse(R"({"scenario": "x.json", "set": {"gateways.count": 20},
-    "faults": [{"from_s": 2, "for_s": 6, "gateways": "3:0", "to": "hosts", "hosts": "0-4", "fault": "silent"}],
-    "moves": [{"at_s": 3, "gateways": "8:1", "what": "pause", "for_s": 3}], "within": {"max_over_mean": 2}})"));
+    "faults": [{"from_s": 2, "for_s": 6, "gateways": "3:0", "to": "hosts", "hosts": "0-4",
+                "fault": "silent"}],
+    "moves": [{"at_s": 3, "gateways": "8:1", "what": "pause", "for_s": 3}],
+    "within": {"max_over_mean": 2}})"));
   ASSERT_TRUE(good.mistakes.empty()) << good.mistakes[0].where << good.mistakes[0].what;
   EXPECT_EQ(good.plan.set, std::vector<std::string>{"gateways.count=20"});
   EXPECT_TRUE(good.plan.faults[0].fault.silentBack);
