Discovery's answers are awaited for 3 s: given up at 2.00 s, written ones were lost

Change: a call that does not wait counts as lost after 3 s instead of 2 (what is never written counts as told after 6 s), a waiting one 2.1 s after its wait instead of 2. Test: an answer after 2.05 s is taken and its drain heeded; it fails with 2.0 s.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -129,7 +129,7 @@
     target += "?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(wait.count());
   call->request = {http::verb::get, target, 11};
   call->request.set(http::field::host, server.address().to_string() + ":" + std::to_string(server.port()));
-  call->start(kind, wait + waits_.answer);
+  call->start(kind, kind == Kind::next ? wait + waits_.answer : waits_.atOnce);
 }
 
 void Discovery::endedNew(const std::optional<HostList>& list) {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -26,7 +26,12 @@
   };
   struct Waits {
     std::chrono::milliseconds watch{20000};  // a watch may wait so long,
-    std::chrono::milliseconds answer{2000};  // and any call so much longer before it counts as lost
+    // and so much longer before it counts as lost. What is not heard of counts as told 2 s after its wait.
+    std::chrono::milliseconds answer{2100};
+    // So long any other call. Danger: discovery that is busy answers up to 2.01 s late, and what it has
+    // written counts as told, also where the call was given up in that moment. What is never written does
+    // after 6 s.
+    std::chrono::milliseconds atOnce{3000};
   };
 
   Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server, Callbacks callbacks,
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -601,7 +601,7 @@
 }
 
 TEST_F(GatewayTest, ASilentWatchCountsAsFailed) {
-  waits.discovery.answer = std::chrono::milliseconds(20);
+  waits.discovery.answer = waits.discovery.atOnce = std::chrono::milliseconds(20);
   discovery.peer.script = [&](PeerConnection& c) {
     discovery.targets.push_back(c.request.target().to_string());
   };
@@ -609,6 +609,28 @@
   EXPECT_TRUE(until([&] { return discovery.targets.size() == 2; }));
 }
 
+// Written, it counts as told: given up in that moment, the drain in it would be broken without being known
+// of.
+TEST_F(GatewayTest, TheAnswerOfABusyDiscoveryIsTakenAlsoAfterTwoSeconds) {
+  asio::steady_timer later(io, std::chrono::milliseconds(2050));
+  std::shared_ptr<PeerConnection> first;
+  discovery.peer.script = [&](PeerConnection& c) {
+    discovery.targets.push_back(c.request.target().to_string());
+    if (discovery.targets.size() == 1) first = c.shared_from_this();
+    else discovery.held.push_back(c.shared_from_this());
+  };
+  later.async_wait([&](boost::system::error_code) {
+    const json drains{
+        {"rev", 2}, {"all", false}, {"targets", {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}}};
+    if (first) first->reply(answerText(200, "", drains.dump()));
+  });
+  twoHosts(always(answerText(200, "", "ok")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  EXPECT_NE(discovery.targets[1].find("since=2&"), std::string::npos) << discovery.targets[1];
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(std::set<std::string>(reached.begin(), reached.end()), std::set<std::string>{"s-1"});
+}
+
 // --- Stop -----------------------------------------------------------------------------------------------
 
 TEST_F(GatewayTest, AStopFinishesWhatWasTaken) {
