A watch that falls silent is opened anew 1 s after its wait, and still listened to

Change: 1 s after its wait a watch gets another beside it at once, and is listened to for 2.5 s more, since what is written to it counts as told as well. Test: the second call comes without the wait of a failure, and a drain told to the silent watch is heeded; it fails without the mend. 106 tests of gateway_test pass.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -44,10 +44,7 @@
     parser.emplace();
     parser->body_limit(kListLimit);
     // Danger: discovery that falls silent would hold the watch for good.
-    timer.expires_after(limit);
-    timer.async_wait([self = shared_from_this(), mine = ++turn](error_code ec) {
-      if (!ec && self->owner && mine == self->turn) self->finish(std::nullopt);
-    });
+    endAfter(limit);
     if (socket.is_open()) return write();
     socket.async_connect(server, [self = shared_from_this()](error_code ec) {
       if (!self->owner) return;
@@ -58,6 +55,14 @@
     });
   }
 
+  void endAfter(std::chrono::milliseconds limit) {
+    timer.expires_after(limit);
+    timer.async_wait([self = shared_from_this(), mine = ++turn](error_code ec) {
+      if (ec || !self->owner || mine != self->turn || self->owner->fellSilent(self)) return;
+      self->finish(std::nullopt);
+    });
+  }
+
   void write() {
     http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
       if (!self->owner) return;
@@ -95,13 +100,26 @@
 Discovery::~Discovery() { stop(); }
 
 void Discovery::stop() {
+  drop();
+  if (const CallPtr over = std::exchange(late_, nullptr)) over->giveUp();
+}
+
+void Discovery::drop() {
   for (CallPtr* call : {&call_, &newCall_})
     if (const CallPtr over = std::exchange(*call, nullptr)) over->giveUp();
 }
 
+bool Discovery::fellSilent(const CallPtr& silent) {
+  if (silent != call_ || silent->kind != Kind::next || next_) return false;
+  if (const CallPtr over = std::exchange(late_, std::exchange(call_, nullptr))) over->giveUp();
+  late_->endAfter(waits_.late);
+  call(Kind::first);
+  return true;
+}
+
 void Discovery::watch() {
   if (next_) return callNew();
-  stop();
+  drop();
   call(version_ ? Kind::first : Kind::list);
 }
 
@@ -137,8 +155,9 @@
     if (const CallPtr over = std::exchange(newCall_, nullptr)) over->giveUp();
     return callbacks_.failed();
   }
-  const CallPtr old = std::exchange(call_, std::exchange(newCall_, nullptr));
-  if (old) old->giveUp();
+  for (const CallPtr& old :
+       {std::exchange(call_, std::exchange(newCall_, nullptr)), std::exchange(late_, nullptr)})
+    if (old) old->giveUp();
   server_ = *next_;
   next_.reset();
   version_ = list->version;  // a count of its own
@@ -148,6 +167,13 @@
 
 void Discovery::ended(const CallPtr& ending, const std::optional<HostList>& list) {
   if (ending == newCall_) return endedNew(list);
+  if (ending == late_) {  // the watch beside it may know more by now
+    late_.reset();
+    ending->giveUp();
+    if (!list || list->version <= version_.value_or(0)) return;
+    version_ = list->version;
+    return callbacks_.told(*list);
+  }
   const Kind kind = ending->kind;
   if (next_ && (!list || (!list->full && list->version < version_.value_or(0)))) {
     // Danger: the module must not hear of it. It would ask again, and so give up the call to the new server.
@@ -169,7 +195,7 @@
 }
 
 void Discovery::fail() {
-  stop();
+  drop();
   callbacks_.failed();
 }
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -26,11 +26,13 @@
   };
   struct Waits {
     std::chrono::milliseconds watch{20000};  // a watch may wait so long,
-    // and so much longer before it counts as lost. What is not heard of counts as told 2 s after its wait.
-    std::chrono::milliseconds answer{2100};
-    // So long any other call. Danger: discovery that is busy answers up to 2.01 s late, and what it has
-    // written counts as told, also where the call was given up in that moment. What is never written does
-    // after 6 s.
+    // and so much longer before another is opened beside it: what it misses counts as told 2 s after its
+    // wait, whether it fell silent or discovery is only busy.
+    std::chrono::milliseconds answer{1000};
+    // It is listened to for so much longer. Danger: what was written counts as told, also to one given up.
+    std::chrono::milliseconds late{2500};
+    // So long any other call: discovery that is busy answers up to 2.01 s late. What it never writes counts
+    // as told after 6 s.
     std::chrono::milliseconds atOnce{3000};
   };
 
@@ -58,6 +60,8 @@
   void begin(CallPtr& call, const boost::asio::ip::tcp::endpoint& server, Kind kind,
              std::chrono::milliseconds wait);
   void fail();
+  bool fellSilent(const CallPtr& call);  // true: it stays open, and another is on its way
+  void drop();                           // all calls that are to be answered
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint server_;
@@ -65,6 +69,7 @@
   Waits waits_;
   std::optional<std::int64_t> version_;
   CallPtr call_;
+  CallPtr late_;  // a watch that was not answered in its time, and still may be
   std::optional<boost::asio::ip::tcp::endpoint> next_;  // the server to move to,
   CallPtr newCall_;                                     // and the call for its list
 };
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -609,6 +609,30 @@
   EXPECT_TRUE(until([&] { return discovery.targets.size() == 2; }));
 }
 
+// What a silent watch misses counts as told soon after, and so does what it is told at last.
+TEST_F(GatewayTest, AWatchThatFallsSilentIsOpenedAnewAtOnceAndStillHeard) {
+  waits.discovery.watch = waits.discovery.answer = std::chrono::milliseconds(60);
+  std::vector<std::shared_ptr<PeerConnection>> calls;
+  const auto answer = [](int version, const json& changed) {
+    return answerText(200, "", json{{"rev", version}, {"all", false}, {"targets", changed}}.dump());
+  };
+  discovery.peer.script = [&](PeerConnection& c) {
+    calls.push_back(c.shared_from_this());
+    discovery.targets.push_back(c.request.target().to_string());
+    if (calls.size() % 2 == 1) c.reply(answer(1, json::array()));  // the first call of a watch
+  };
+  twoHosts(always(answerText(200, "", "ok")));
+  const auto began = std::chrono::steady_clock::now();
+  ASSERT_TRUE(until([&] { return calls.size() == 4; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::milliseconds(450))
+      << "a failure waits longer";
+  EXPECT_FALSE(calls[1]->closedByPeer);
+  calls[1]->reply(answer(2, {target("s-0", hosts[0]->endpoint, "a", "DRAINING")}));
+  ASSERT_TRUE(until([&] { return calls[1]->closedByPeer; }));
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(std::set<std::string>(reached.begin(), reached.end()), std::set<std::string>{"s-1"});
+}
+
 // Written, it counts as told: given up in that moment, the drain in it would be broken without being known
 // of.
 TEST_F(GatewayTest, TheAnswerOfABusyDiscoveryIsTakenAlsoAfterTwoSeconds) {
