--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -161,6 +161,9 @@
   void onTakenOut(Time now, const std::string& address, bool out);
   // This balancer's part of the budgets for cold hosts: under 1 while another one runs for the same gateway.
   void onPart(Time now, double part);
+  // So many further attempts may be sent from now on, over all requests, until the next such word; without
+  // any there is no such bound. For a gateway that spends from a budget of its fleet.
+  void onAllowance(Time now, std::uint64_t furtherAttempts);
   void onWake(Time now);  // at or after the time asked for in ActionKind::wake; extra calls do no harm
 
   // Actions since the last clear, in the order in which they are to be carried out.
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -77,6 +77,9 @@
 void Balancer::onPart(Time now, double part) {
   impl_->event(now, [&] { impl_->cold.setPart(part); });
 }
+void Balancer::onAllowance(Time now, std::uint64_t furtherAttempts) {
+  impl_->event(now, [&] { impl_->attempts.allow(furtherAttempts); });
+}
 void Balancer::onWake(Time now) {
   impl_->event(now, [&] { impl_->onWake(); });
 }
--- a/src/decide/attempts.hpp
+++ b/src/decide/attempts.hpp
@@ -22,6 +22,7 @@
     if (r && !r->ended) end(*r);
   }
   void onWake();
+  void allow(std::uint64_t resends) { allowed_ = resends; }  // see Balancer::onAllowance
   void sweep() { turns_.forgetIdle(c_.now); }
   void passTurns();  // after every event
   Time nextGuard();  // Time::max(): none
@@ -42,8 +43,8 @@
   void dispatch(Open& r);
   bool send(Open& r);
   bool resend(Open& r) {
-    if (retryTokens_ < 1 || !send(r)) return false;
-    retryTokens_ -= 1;
+    if (retryTokens_ < 1 || allowed_ == 0 || !send(r)) return false;
+    retryTokens_ -= 1, --allowed_;
     return true;
   }
   void hold(const Open& r, Host& h) {  // the host has work of it from now on
@@ -66,6 +67,7 @@
   Turns turns_;
   std::vector<std::uint64_t> turnsDue_;  // keys whose turn may have passed on in this event
   double retryTokens_ = kRetrySaved;
+  std::uint64_t allowed_ = UINT64_MAX;  // by others than this gateway
   // Resends per new request; and those that may be saved up, beyond those of a second.
   static constexpr double kRetryShare = 0.3, kRetrySaved = 3;
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -208,6 +208,7 @@
     for (const ListedHost& host : list.hosts) listed_(host.uid);
   else
     for (const ListedHost& host : list.hosts) listedBefore_.insert(host.uid);
+  if (fleet_) tellFleet(list, kind);
   // The list from the start may be old. Beside a process that serves, there is time to ask for a new one.
   if (kind != ListKind::restored || (!passed_ && !list.hosts.empty())) becomeReady();
   drainActions();
@@ -230,6 +231,12 @@
   // Danger: passed on, one with the id of an open request is a second copy of that one to the hosts.
   std::string name = message["X-Request-Id"].to_string();
   if (!names_.insert(name).second) return clients_.answer(request.exchange, plain(http::status::conflict));
+  if (fleet_ && !fleet_->mayTake(settings_.classes[asked.classIndex].name,
+                                 std::string_view(message["X-Tenant"].data(), message["X-Tenant"].size()))) {
+    names_.erase(name);
+    return clients_.answer(request.exchange, plain(http::status::too_many_requests));
+  }
+  allowanceMoved();
   asked.id = ++lastRequest_;
   asked.left -= kAnswerMargin;
   asked.coming = request.body != nullptr;
@@ -316,6 +323,7 @@
   result.taken = end.taken;
   result.terminal = exchange.ended;
   result.spent = exchange.body && exchange.body->spent();
+  if (fleet_) tellFleet(end);
   if (end.load) balancer_.onReport(now(), end.host, *end.load);
   balancer_.onResult(now(), result);
 }
@@ -345,6 +353,30 @@
     settle(std::move(end));
   }
   carrying_ = false;
+  allowanceMoved();
+}
+
+// Only between events: within one the module has counted down attempts whose actions are still to be done.
+void Gateway::allowanceMoved() {
+  if (!fleet_ || carrying_ || fleet_->retriesAllowed() == allowed_) return;
+  allowed_ = fleet_->retriesAllowed();
+  balancer_.onAllowance(now(), allowed_);
+}
+
+void Gateway::tellFleet(const HostList& list, ListKind kind) {
+  if (kind != ListKind::update) uids_.clear();
+  for (const ListedHost& host : list.hosts) {
+    if (host.state == HostState::gone) uids_.erase(host.uid);
+    else uids_.insert(host.uid);
+  }
+  fleet_->listed({uids_.begin(), uids_.end()});
+}
+
+void Gateway::tellFleet(const AttemptEnd& end) {
+  const bool good = end.outcome == Outcome::served;
+  const bool bad = end.outcome == Outcome::error || end.outcome == Outcome::timeout ||
+                   end.outcome == Outcome::reset || end.outcome == Outcome::connectFailed;
+  if (good || bad) fleet_->attemptEnded(balancer_.address(end.host), good);
 }
 
 void Gateway::carryOut(const Action& action) {
@@ -366,6 +398,10 @@
   if (it == exchanges_.end() || it->second.ended) return;
   Exchange& exchange = it->second;
   ++exchange.out;
+  if (fleet_ && action.attempt > 0) {
+    fleet_->retried();
+    if (allowed_ > 0) --allowed_;  // as the module has
+  }
   HttpRequest message = exchange.message;
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(action.span).count();
   message.set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(ms, 1)));
@@ -427,7 +463,24 @@
   clients_.setLimits(clientLimits(config_, waits_.clients, paired_));
 }
 
+void Gateway::joinFleet(FleetHooks hooks) {
+  fleet_ = std::move(hooks);
+  if (config_.known) tellFleet(*config_.known, ListKind::restored);
+  allowanceMoved();
+}
+
 void Gateway::takeOut(const std::string& uid, bool out) {
+  if (out) outByOperator_.insert(uid);
+  else outByOperator_.erase(uid);
+  if (!outByFleet_.count(uid)) setOut(uid, out);
+}
+
+void Gateway::takeOutForFleet(const std::string& uid, bool out) {
+  const bool changed = out ? outByFleet_.insert(uid).second : outByFleet_.erase(uid) > 0;
+  if (changed && !outByOperator_.count(uid)) setOut(uid, out);
+}
+
+void Gateway::setOut(const std::string& uid, bool out) {
   const HostId id = balancer_.findHost(uid);
   balancer_.onTakenOut(now(), uid, out);
   drainActions();
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -47,6 +48,19 @@
   void setPaired(bool paired);
   // An operator takes a host out, by discovery's id of it, or calls it back.
   void takeOut(const std::string& uid, bool out);
+  // What a fleet that this gateway belongs to is asked and told. The events come in the order of what
+  // happened.
+  struct FleetHooks {
+    std::function<bool(std::string_view requestClass, std::string_view tenant)> mayTake;  // false: refused
+    std::function<void()> retried;                  // a further attempt for a request was sent
+    std::function<std::uint64_t()> retriesAllowed;  // now
+    std::function<void(const std::string& uid, bool good)> attemptEnded;
+    std::function<void(std::vector<std::string> uids)> listed;  // the hosts that discovery names, all of them
+  };
+  void joinFleet(FleetHooks hooks);  // once, before the loop runs
+  void allowanceMoved();             // retriesAllowed() may say something else now
+  // As takeOut, by the word of the fleet. A host is out as long as the operator or the fleet says so.
+  void takeOutForFleet(const std::string& uid, bool out);
   // Told of each host that is in a list, of those listed already at once.
   void onListed(std::function<void(const std::string& uid)> listed);
   // Out of service, or back in it. What comes is still served; idle connections are given up meanwhile.
@@ -78,6 +92,9 @@
   void clientGone(ExchangeId exchange);
   void told(const HostList& list, ochrehill::ListKind kind);
   void becomeReady();
+  void setOut(const std::string& uid, bool out);
+  void tellFleet(const AttemptEnd& end);
+  void tellFleet(const HostList& list, ochrehill::ListKind kind);
   void applyLimits();
 
   void drainActions();
@@ -111,6 +128,10 @@
   std::function<void()> stopped_;
   std::function<void(const std::string&)> listed_;
   std::unordered_set<std::string> listedBefore_;  // until somebody wants to hear of them
+  std::optional<FleetHooks> fleet_;
+  std::uint64_t allowed_ = UINT64_MAX;    // as the module was told last
+  std::unordered_set<std::string> uids_;  // listed; kept for a fleet only
+  std::unordered_set<std::string> outByOperator_, outByFleet_;
   bool carrying_ = false, ready_ = false, stopping_ = false, drained_ = false, paired_ = false;
   bool passed_ = false;   // the clients' socket is not ours alone
   ClientServer clients_;  // last: it may hand over requests from here on
