--- /dev/null
+++ b/src/fleet/agent.cpp
@@ -0,0 +1,281 @@
+#include "fleet/agent.hpp"
+
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/spdlog.h>
+#include <sys/random.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "membership/codec.hpp"
+#include "membership/transport.hpp"
+
+namespace fennelridge::fleet {
+
+using nlohmann::ordered_json;
+using shared::Time;
+
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds(100);
+constexpr unsigned kGaugeTicks = 10;  // the gauges are logged once in so many ticks
+constexpr std::size_t kEagerTo = 2;   // members that are told at once of what can't wait
+constexpr auto kEagerEvery = std::chrono::milliseconds(250);
+
+std::uint64_t drawn() {
+  std::uint64_t out = 0;
+  if (::getrandom(&out, sizeof out, 0) != sizeof out)
+    out = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+  return out | 1;  // 0 means none
+}
+
+std::shared_ptr<spdlog::logger> openLog(const std::string& file) {
+  if (file.empty()) return nullptr;
+  try {
+    auto sink = std::make_shared<spdlog::sinks::basic_file_sink_st>(file);
+    auto log = std::make_shared<spdlog::logger>("fleet", std::move(sink));
+    log->set_pattern("%v");
+    return log;
+  } catch (const spdlog::spdlog_ex& bad) {
+    throw BadFleetFile("log: " + std::string(bad.what()));
+  }
+}
+
+}  // namespace
+
+struct Agent::State {
+  State(boost::asio::io_context& io, Config c, Controls k)
+      : config(std::move(c)),
+        controls(std::move(k)),
+        life(drawn()),
+        log(openLog(config.log)),
+        shared(config.plan, config.membership.name, life, now()),
+        transport(
+            io, config.listen, membership::fleetId(config.fleet), config.membership,
+            static_cast<std::uint64_t>(now() / std::chrono::milliseconds(1)), life,
+            {[this](const std::string& member, std::size_t room) { return shared.payloadFor(member, room); },
+             [this](const std::string& member, std::string_view payload) {
+               const bool good = shared.onPayload(now(), member, payload);
+               controls.allowanceMoved();
+               return good;
+             },
+             [this](const membership::Change& change) { changed(change); }}),
+        timer(io) {
+    event({{"ev", "start"},
+           {"name", config.membership.name},
+           {"life", life},
+           {"fleet", config.fleet},
+           {"members", config.plan.members},
+           {"slot_ms", config.plan.slot / std::chrono::milliseconds(1)},
+           {"retry_share", config.plan.retryShare},
+           {"retry_slots", config.plan.retrySlots},
+           {"limit_slots", config.plan.limitSlots}});
+    view();
+    transport.join(config.seeds);
+    tick();
+  }
+
+  // Danger: a clock that jumps must not bring rights back to life; so Unix time is asked for once.
+  Time now() const { return unixStart + (std::chrono::steady_clock::now() - steadyStart); }
+  std::int64_t unixMs() const { return now() / std::chrono::milliseconds(1); }
+
+  void event(ordered_json line) {
+    if (!log) return;
+    ordered_json stamped{{"t", unixMs()}};
+    stamped.update(line);
+    log->info("{}", stamped.dump());
+    log->flush();
+  }
+
+  void changed(const membership::Change& c) {
+    viewMoved = true;
+    if (c.forgotten) return;
+    event({{"ev", "member"},
+           {"name", c.name},
+           {"from", c.known ? std::string(membership::nameOf(c.from)) : "unknown"},
+           {"to", std::string(membership::nameOf(c.to))}});
+  }
+
+  void view() {
+    viewMoved = false;
+    const membership::Membership& m = transport.members();
+    seen.alive = m.alive();
+    seen.known = m.known();
+    seen.settled = !m.superseded() && (m.known() > 1 || config.plan.members <= 1);
+    seen.living.clear();
+    seen.living.insert(config.membership.name);
+    for (const auto& [name, member] : m.others())
+      if (member.state == membership::State::alive || member.state == membership::State::suspect)
+        seen.living.insert(name);
+  }
+
+  void tick() {
+    if (viewMoved) view();
+    shared.onTick(now(), seen);
+    decideHosts();
+    if (shared.eager() && now() - eagerAt >= kEagerEvery) {
+      eagerAt = now();
+      transport.share(kEagerTo);
+    }
+    controls.allowanceMoved();
+    logFigures();
+    timer.expires_after(kTick);
+    timer.async_wait([this](boost::system::error_code ec) {
+      if (!ec) tick();
+    });
+  }
+
+  void decideHosts() {
+    if (shared.hostsOut() == out) return;
+    const std::set<std::string> before = std::exchange(out, shared.hostsOut());
+    for (const std::string& host : before)
+      if (!out.contains(host)) moved(host, false);
+    for (const std::string& host : out)
+      if (!before.contains(host)) moved(host, true);
+  }
+
+  void moved(const std::string& host, bool isOut) {
+    controls.out(host, isOut);
+    controls.log("fleet: host " + host + (isOut ? " is out, a quorum finds it bad" : " is back"));
+    ordered_json by = ordered_json::array();
+    for (const auto& [key, j] : shared.judgements().accepted())
+      if (key.host == host && j.verdict == shared::Verdict::bad) by.push_back(key.observer);
+    event({{"ev", isOut ? "host_out" : "host_back"},
+           {"host", host},
+           {"bad_by", by},
+           {"cap", shared.judgements().cap()},
+           {"alive", seen.alive},
+           {"known", seen.known}});
+  }
+
+  // What was taken and retried since the last line, so that a checker can add up the fleet.
+  void logFigures() {
+    const shared::FleetState::Counters& c = shared.counters();
+    ++ticks;
+    const bool gauges = ticks % kGaugeTicks == 0;
+    const bool moved = c.requests != last.requests || c.retries != last.retries || c.refused != last.refused;
+    if (!log || (!gauges && !moved)) return;
+    ordered_json line{{"ev", "used"},
+                      {"requests", c.requests - last.requests},
+                      {"retries", c.retries - last.retries},
+                      {"refused", c.refused - last.refused}};
+    if (!c.admitted.empty()) {
+      ordered_json admitted = ordered_json::object();
+      for (std::size_t i = 0; i < c.admitted.size(); ++i)
+        admitted[config.plan.limits[i].name] = c.admitted[i] - last.admitted[i];
+      line["admitted"] = std::move(admitted);
+    }
+    last = c;
+    if (gauges) {
+      const membership::Transport::Counts& t = transport.counts();
+      line.update({{"alive", seen.alive},
+                   {"known", seen.known},
+                   {"rights", static_cast<double>(shared.retryRights().held()) / shared::kOne},
+                   {"overdrawn", c.retriesOverdrawn},
+                   {"bad_payloads", c.badPayloads},
+                   {"sent_bytes", t.sentBytes},
+                   {"sent", t.sent},
+                   {"received", t.received},
+                   {"dropped", t.malformed + t.otherFleet + t.otherFormat},
+                   {"fleet_requests", shared.counts().total(0)},
+                   {"health", transport.members().health()}});
+    }
+    event(std::move(line));
+  }
+
+  Config config;
+  Controls controls;
+  std::chrono::steady_clock::time_point steadyStart = std::chrono::steady_clock::now();
+  Time unixStart = std::chrono::system_clock::now().time_since_epoch();
+  std::uint64_t life;
+  std::shared_ptr<spdlog::logger> log;
+  shared::FleetState shared;
+  membership::Transport transport;
+  boost::asio::steady_timer timer;
+  shared::FleetView seen;
+  bool viewMoved = true;
+  std::set<std::string> out;
+  Time eagerAt{};
+  unsigned ticks = 0;
+  shared::FleetState::Counters last{0, 0, 0, 0, 0, 0, std::vector<std::uint64_t>(config.plan.limits.size())};
+};
+
+Agent::Agent(boost::asio::io_context& io, Config config, Controls controls)
+    : state_(std::make_unique<State>(io, std::move(config), std::move(controls))) {}
+Agent::~Agent() = default;
+
+bool Agent::mayTake(std::string_view requestClass, std::string_view tenant) {
+  return state_->shared.onRequest(state_->now(), requestClass, tenant);
+}
+void Agent::retried() { state_->shared.onRetry(state_->now()); }
+std::uint64_t Agent::retriesAllowed() const {
+  const unsigned n = state_->shared.retriesAllowed();
+  return n == shared::FleetState::kNoLimit ? UINT64_MAX : n;
+}
+void Agent::attemptEnded(const std::string& uid, bool good) {
+  state_->shared.onOutcome(state_->now(), uid, good);
+}
+void Agent::listed(std::vector<std::string> uids) { state_->shared.onHosts(std::move(uids)); }
+
+void Agent::leave() {
+  state_->timer.cancel();
+  state_->event({{"ev", "leave"}});
+  state_->transport.leave();
+}
+
+std::string Agent::report() const {
+  const State& s = *state_;
+  const membership::Membership& m = s.transport.members();
+  const membership::Transport::Counts& t = s.transport.counts();
+  const shared::FleetState::Counters& c = s.shared.counters();
+  ordered_json members = ordered_json::object();
+  for (const auto& [name, member] : m.others())
+    members[name] = {{"state", std::string(membership::nameOf(member.state))},
+                     {"address", membership::textOf(member.address)}};
+  ordered_json limits = ordered_json::object();
+  for (std::size_t i = 0; i < c.admitted.size(); ++i)
+    limits[s.config.plan.limits[i].name] = {
+        {"admitted", c.admitted[i]},
+        {"fleet_admitted", s.shared.counts().total(2 + i)},
+        {"rights", static_cast<double>(s.shared.limitRights()[i].held()) / shared::kOne}};
+  ordered_json judged = ordered_json::object();
+  for (const auto& [key, j] : s.shared.judgements().accepted())
+    judged[key.host][key.observer] = {{"verdict", std::string(shared::nameOf(j.verdict))},
+                                      {"good", j.good},
+                                      {"failed", j.failed},
+                                      {"at_ms", j.atMs}};
+  const ordered_json all{
+      {"fleet", s.config.fleet},
+      {"name", s.config.membership.name},
+      {"settled", s.shared.settled()},
+      {"superseded", m.superseded()},
+      {"alive", m.alive()},
+      {"known", m.known()},
+      {"health", m.health()},
+      {"requests",
+       {{"taken", c.requests}, {"refused", c.refused}, {"fleet_taken", s.shared.counts().total(0)}}},
+      {"retries",
+       {{"sent", c.retries},
+        {"overdrawn", c.retriesOverdrawn},
+        {"rights", static_cast<double>(s.shared.retryRights().held()) / shared::kOne},
+        {"fleet_sent", s.shared.counts().total(1)}}},
+      {"limits", limits},
+      {"hosts_out", s.shared.hostsOut()},
+      {"hosts_judged", judged},
+      {"datagrams",
+       {{"sent", t.sent},
+        {"sent_bytes", t.sentBytes},
+        {"received", t.received},
+        {"malformed", t.malformed},
+        {"other_fleet", t.otherFleet},
+        {"other_format", t.otherFormat},
+        {"not_its_address", t.notItsAddress},
+        {"bad_payloads", c.badPayloads},
+        {"other_plan", c.otherPlan}}},
+      {"members", members}};
+  return all.dump();
+}
+
+}  // namespace fennelridge::fleet
--- a/src/lab/commands_live.cpp
+++ b/src/lab/commands_live.cpp
@@ -39,6 +39,28 @@
   return playLive(scenario, o.seed, options);
 }
 
+void printFleet(const FleetCheck::Report& f) {
+  const auto use = [](const std::string& what, const FleetCheck::Use& u) {
+    std::printf("%s: %llu, at worst %.0f %% of a window's budget, %+.1f uses beyond it\n", what.c_str(),
+                static_cast<unsigned long long>(u.used), 100 * u.worstShare, u.worstOver);
+  };
+  std::printf("shared state, from %zu logs: %llu requests taken, %llu refused\n", f.logs,
+              static_cast<unsigned long long>(f.requests), static_cast<unsigned long long>(f.refused));
+  use("retries of the fleet", f.retries);
+  for (const auto& [name, u] : f.limits) use("limit " + name, u);
+  std::printf(
+      "members: killed ones doubted after %.2f s (p50), %.2f s (p99) in %zu views, never in %llu; %llu false "
+      "deaths, %llu false suspicions; healed after %.1f s; %.0f bytes/s each\n",
+      quantile(f.detectS, 0.5), quantile(f.detectS, 0.99), f.detectS.size(),
+      static_cast<unsigned long long>(f.undetected), static_cast<unsigned long long>(f.falseDeaths),
+      static_cast<unsigned long long>(f.falseDoubts), f.healedS, f.bytesPerMember);
+  std::printf(
+      "hosts out by the fleet's word: %zu at once at most, %zu in all; %llu datagrams dropped, %llu bad "
+      "payloads, %llu retries without a right\n",
+      f.hostsOutMost, f.hostsEverOut.size(), static_cast<unsigned long long>(f.dropped),
+      static_cast<unsigned long long>(f.badPayloads), static_cast<unsigned long long>(f.overdrawn));
+}
+
 void printSpread(const LiveResult& live) {
   const auto line = [](const char* when, const Spread& s) {
     std::printf(
@@ -51,6 +73,7 @@
   for (const PhaseSpread& phase : live.back) line(("2 s after " + phase.name).c_str(), phase.spread);
   std::printf("a gateway: %.1f MB and %.0f descriptors at most; a host: %.1f connections in the mean\n",
               live.gatewayMemoryMb, live.gatewayDescriptors, live.hostConnections);
+  if (live.fleet) printFleet(*live.fleet);
   for (const std::string& e : live.events) std::printf("  %s\n", e.c_str());
 }
 
@@ -74,6 +97,20 @@
   double herd = live.back.empty() ? s.herdPeak : 0;
   for (const PhaseSpread& phase : live.back) herd = std::max(herd, phase.spread.herdPeak);
   judge("herd_peak", herd, bounds.herdPeak, false);
+  if (live.fleet) {
+    const FleetCheck::Report& f = *live.fleet;
+    judge("retries_over", f.retries.worstOver, bounds.retriesOver, false);
+    for (const auto& [name, use] : f.limits)
+      judge(("limits_over of " + name).c_str(), use.worstOver, bounds.limitsOver, false);
+    judge("detect_p99_s", quantile(f.detectS, 0.99), bounds.detectP99S, false);
+    judge("false_deaths", static_cast<double>(f.falseDeaths), bounds.falseDeaths, false);
+    judge("healed_s", f.healedS, bounds.healedS, false);
+    judge("bytes_per_member_s", f.bytesPerMember, bounds.bytesPerMemberS, false);
+    judge("hosts_out", static_cast<double>(f.hostsOutMost), bounds.hostsOut, false);
+    judge("hosts_ever_out", static_cast<double>(f.hostsEverOut.size()), bounds.hostsEverOut, true);
+    if (f.overdrawn > 0) out.push_back("retries were sent without a right");
+    if (f.requests == 0) out.push_back("no gateway's log tells of a request");
+  }
   return out;
 }
 
@@ -94,6 +131,7 @@
                  {"landed_each_second", bySecond(live.landed.requests, live.landed.slotS)},
                  {"handshakes_each_second", bySecond(live.landed.handshakes, live.landed.slotS)},
                  {"events", live.events}};
+  if (live.fleet) day["live"]["fleet"] = toJson(*live.fleet);
   for (const PhaseSpread& phase : live.back)
     day["live"]["back"].push_back({{"name", phase.name},
                                    {"from_s", phase.fromS},
--- a/src/lab/gateway_process.cpp
+++ b/src/lab/gateway_process.cpp
@@ -65,6 +65,7 @@
                                      "GW_CONFIG=" + file.string(),
                                      "TMPDIR=" + (place_.folder / "tmp").string(),
                                      "PATH=/usr/bin:/bin"};
+  if (!place_.fleet.empty()) variables.push_back("GW_FLEET=" + place_.fleet.string());
   std::vector<char*> environment;
   for (std::string& v : variables) environment.push_back(v.data());
   environment.push_back(nullptr);
--- a/src/lab/gateway_process.hpp
+++ b/src/lab/gateway_process.hpp
@@ -19,7 +19,8 @@
   struct Place {
     std::string name;
     boost::asio::ip::tcp::endpoint listen, admin, discovery;
-    std::filesystem::path folder;  // its own: configuration, log, TMPDIR
+    std::filesystem::path folder;   // its own: configuration, log, TMPDIR
+    std::filesystem::path fleet{};  // operator file of its fleet; empty: none
   };
   // Does not start it. `program`: the gateway's executable.
   GatewayProcess(std::string program, Place place);
--- a/src/lab/live_day.cpp
+++ b/src/lab/live_day.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <deque>
 #include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -77,13 +78,14 @@
     landed_.slotS = kSlotS;
     // Proxies hold their ports, where freeAddress only names one that was free; so they come first.
     for (std::uint32_t g = 0; g < gatewayCount(); ++g) fleet_.list(g);
+    if (!rig().fleet.empty()) beginFleet();
     for (std::uint32_t g = 0; g < gatewayCount(); ++g) {
       Gateway& gate = gateways_.emplace_back();
       gate.zone = fleet_.layout().gatewayZones[g];
       gate.process = std::make_unique<GatewayProcess>(
           options.gateway,
-          GatewayProcess::Place{"g" + std::to_string(g), freeAddress(), freeAddress(), links_.discoveryOf(g),
-                                std::filesystem::path(options.folder) / ("g" + std::to_string(g))});
+          GatewayProcess::Place{nameOf(g), freeAddress(), freeAddress(), links_.discoveryOf(g), folderOf(g),
+                                rig().fleet.empty() ? "" : folderOf(g) / "fleet.json"});
     }
   }
 
@@ -154,6 +156,15 @@
   std::uint32_t gatewayCount() const {
     return static_cast<std::uint32_t>(fleet_.layout().gatewayZones.size());
   }
+  static std::string nameOf(std::uint32_t g) { return "g" + std::to_string(g); }
+  std::filesystem::path folderOf(std::uint32_t g) const {
+    return std::filesystem::path(options_.folder) / nameOf(g);
+  }
+  void beginFleet();
+  void checkFleet(LiveResult& result);
+  double unixSeconds() const {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  }
   void beginRig();
   void makeMove(const RigMove& move);
   void moveGateway(const RigMove& move, std::uint32_t gateway);
@@ -193,6 +204,9 @@
   std::vector<std::string> events_;
   std::vector<PhaseSpread> back_;
   double connectionsSum_ = 0, connectionsCount_ = 0;
+  std::vector<std::pair<std::string, double>> kills_;  // gateways, in Unix seconds
+  std::vector<std::pair<double, double>> splits_;
+  double talkEnds_ = 0;
 };
 
 // --- The rig ----------------------------------------------------------------------------------------------
@@ -204,11 +218,67 @@
   note_ = what;
 }
 
+// Each gateway's operator file: what the plan says, and where it and the others are. They know each other by
+// their addresses at the laboratory's mesh alone.
+void LiveDay::beginFleet() {
+  std::vector<asio::ip::udp::endpoint> real;
+  std::vector<std::unique_ptr<asio::ip::udp::socket>>
+      held;  // till all are named, so that none is named twice
+  for (std::uint32_t g = 0; g < gatewayCount(); ++g) {
+    held.push_back(std::make_unique<asio::ip::udp::socket>(
+        io_, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0)));
+    real.push_back(held.back()->local_endpoint());
+  }
+  links_.meshGateways(real);
+  const auto text = [](const asio::ip::udp::endpoint& e) {
+    return e.address().to_string() + ":" + std::to_string(e.port());
+  };
+  nlohmann::json file = nlohmann::json::parse(rig().fleet);
+  file["fleet"] = "rig";
+  if (!file.contains("members")) file["members"] = gatewayCount();
+  file["seeds"] = nlohmann::json::array();
+  for (std::uint32_t g = 0; g < std::min(3U, gatewayCount()); ++g)
+    file["seeds"].push_back(text(links_.talkOf(g)));
+  for (std::uint32_t g = 0; g < gatewayCount(); ++g) {
+    file["listen"] = text(real[g]);
+    file["address"] = text(links_.talkOf(g));
+    file["log"] = (folderOf(g) / "fleet.jsonl").string();
+    std::filesystem::create_directories(folderOf(g));
+    std::ofstream(folderOf(g) / "fleet.json") << file.dump(1);
+  }
+}
+
+void LiveDay::checkFleet(LiveResult& result) {
+  if (rig().fleet.empty()) return;
+  const nlohmann::json file = nlohmann::json::parse(rig().fleet);
+  FleetPromise promise;
+  const double slotS = file.value("slot_ms", 1000.0) / 1000;
+  if (const auto it = file.find("retries"); it != file.end()) {
+    promise.retryShare = it->value("share", -1.0);
+    promise.retryLapseS = slotS * it->value("lapse_slots", 10.0);
+  }
+  promise.limitLapseS = slotS * file.value("limit_lapse_slots", 3.0);
+  if (const auto it = file.find("limits"); it != file.end())
+    for (const auto& l : *it) promise.limits[l.value("name", "")] = l.value("per_s", 0.0);
+  FleetCheck check(promise);
+  check.ends(talkEnds_);
+  for (const auto& [name, at] : kills_) check.killed(name, at);
+  for (const auto& [from, to] : splits_) check.split(from, to);
+  for (std::uint32_t g = 0; g < gatewayCount(); ++g) check.file(nameOf(g), folderOf(g) / "fleet.jsonl");
+  result.fleet = check.report();
+}
+
 void LiveDay::beginRig() {
   for (std::size_t i = 0; i < rig().faults.size(); ++i) {
     const RigFault& f = rig().faults[i];
-    const std::string where =
-        (f.toHosts() ? "hosts " + f.hostsText : "discovery") + " of gateways " + f.gatewaysText;
+    const std::string where = (f.toHosts()      ? "hosts " + f.hostsText
+                               : f.toGateways() ? "talk with gateways " + f.othersText
+                                                : "discovery") +
+                              " of gateways " + f.gatewaysText;
+    const Fault& fault = f.fault;
+    if (f.toGateways() && (fault.silentThere || fault.silentBack))
+      clock_.at(begin_ + fromSeconds(f.fromS),
+                [this, &f] { splits_.emplace_back(unixSeconds(), unixSeconds() + f.forS); });
     clock_.at(begin_ + fromSeconds(f.fromS), [this, i, where] {
       event(where + ": " + lab::textOf(rig().faults[i].fault));
       links_.begin(i);
@@ -243,6 +313,7 @@
     case RigMove::What::pause: g.pausedAt = clock_.now(); return g.process->kill(SIGSTOP);
     case RigMove::What::stop:
       g.stoppedAt = clock_.now();
+      kills_.emplace_back(nameOf(number), unixSeconds());
       g.process->kill(SIGTERM);
       return clock_.at(clock_.now() + fromSeconds(kFrontAfterStopS), [&g] {
         if (g.stoppedAt != kNever) g.seenAlive = false;
@@ -283,6 +354,7 @@
 
 void LiveDay::killGateway(std::uint32_t number, Duration noticed) {
   Gateway& g = gateways_[number];
+  kills_.emplace_back(nameOf(number), unixSeconds());
   g.process->kill(SIGKILL);
   g.killed = true;
   g.ready = false;
@@ -599,6 +671,7 @@
          !(trafficOver_ && clients_->open() == 0 && clock_.now() >= end))
     io_.run_for(std::chrono::milliseconds(20));
   result.stopped = stopped();
+  talkEnds_ = unixSeconds();
   for (Gateway& g : gateways_) {
     const GatewayProcess::Usage usage = g.process->usage();
     result.gatewayMemoryMb = std::max(result.gatewayMemoryMb, usage.residentMb);
@@ -619,6 +692,7 @@
       s_.name, seed_, tally_, referee_.counts(), referee_.first(), toSeconds(clock_.now() - begin_), tries_};
   for (Breach& b : result.day.firstBreaches) b.at -= begin_;
   judgeSpread(result);
+  checkFleet(result);
   result.gatewayCpuUs = tries_ > 0 ? 1e6 * cpu / static_cast<double>(tries_) : 0;
   result.latestMs = toSeconds(clock_.latest()) * 1e3;
   const double late = static_cast<double>(clock_.late());
--- a/src/lab/live_day.hpp
+++ b/src/lab/live_day.hpp
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "lab/rig/fleet_check.hpp"
 #include "lab/rig/plan.hpp"
 #include "lab/rig/spread.hpp"
 #include "lab/scenario.hpp"
@@ -46,8 +48,9 @@
   Landed landed;          // at the hosts
   Spread spread;          // from the plan's `from_s` on
   double herdInCalm = 0;  // herd peak of 2 s before the first fault or move, the median: what chance does
-  std::vector<PhaseSpread> back;    // the 2 s after a move's gateways were all back
-  std::vector<std::string> events;  // faults and moves as carried out: "12.000 kill gateways 0-6"
+  std::vector<PhaseSpread> back;            // the 2 s after a move's gateways were all back
+  std::optional<FleetCheck::Report> fleet;  // where the gateways shared state
+  std::vector<std::string> events;          // faults and moves as carried out: "12.000 kill gateways 0-6"
 };
 
 // Throws std::runtime_error with one line when a gateway can't be started or is not ready within
--- a/src/lab/rig/links.cpp
+++ b/src/lab/rig/links.cpp
@@ -17,7 +17,7 @@
   for (std::size_t f = 0; f < plan.faults.size(); ++f)
     for (const std::uint32_t g : plan.faults[f].gateways.of(gateways)) {
       if (plan.faults[f].toHosts()) groups_[g].push_back(f);
-      else if (!discoveries_[g])
+      else if (!plan.faults[f].toGateways() && !discoveries_[g])
         discoveries_[g] = std::make_unique<FaultProxy>(io, discovery_(g), seed ^ (g + 1));
     }
 }
@@ -50,14 +50,45 @@
     }
     return;
   }
-  for (std::uint32_t g = 0; g < discoveries_.size(); ++g)
+  const auto gateways = static_cast<std::uint32_t>(discoveries_.size());
+  if (changed.toGateways()) {
+    for (std::uint32_t a = 0; mesh_ && a < gateways; ++a)
+      for (std::uint32_t b = 0; b < gateways; ++b)
+        if (a != b && changed.gateways.has(a) && changed.others.has(b)) {
+          mesh_->set(a, b, between(a, b));
+          mesh_->set(b, a, between(b, a));
+        }
+    return;
+  }
+  for (std::uint32_t g = 0; g < gateways; ++g)
     if (changed.gateways.has(g)) discoveries_[g]->set(at(g));
 }
 
+void RigLinks::meshGateways(const std::vector<boost::asio::ip::udp::endpoint>& real) {
+  mesh_ = std::make_unique<DatagramMesh>(io_, seed_);
+  for (const auto& endpoint : real) mesh_->add(endpoint);
+}
+
+// Of what one gateway sends another: a fault named from the other's side meets it on its way back.
+Fault RigLinks::between(std::uint32_t from, std::uint32_t to) const {
+  Fault sum;
+  for (std::size_t f = 0; f < on_.size(); ++f) {
+    const RigFault& fault = plan_.faults[f];
+    if (!on_[f] || !fault.toGateways()) continue;
+    if (fault.gateways.has(from) && fault.others.has(to)) sum = together(sum, fault.fault);
+    else if (fault.gateways.has(to) && fault.others.has(from)) {
+      Fault back = fault.fault;
+      std::swap(back.silentThere, back.silentBack);
+      sum = together(sum, back);
+    }
+  }
+  return sum;
+}
+
 Fault RigLinks::at(std::uint32_t gateway) const {
   Fault sum;
   for (std::size_t f = 0; f < on_.size(); ++f)
-    if (on_[f] && !plan_.faults[f].toHosts() && plan_.faults[f].gateways.has(gateway))
+    if (on_[f] && plan_.faults[f].to == "discovery" && plan_.faults[f].gateways.has(gateway))
       sum = together(sum, plan_.faults[f].fault);
   return sum;
 }
--- a/src/lab/rig/links.hpp
+++ b/src/lab/rig/links.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <vector>
 
+#include "lab/faults/datagram_mesh.hpp"
 #include "lab/faults/proxy.hpp"
 #include "lab/rig/plan.hpp"
 
@@ -28,6 +29,10 @@
   // Gateways that the same faults meet share a proxy before a host; it is made when it is first asked for.
   Endpoint hostOf(std::uint32_t gateway, std::uint32_t host);
 
+  // The gateways' talk goes through a mesh from now on; where each of them really listens, in their order.
+  void meshGateways(const std::vector<boost::asio::ip::udp::endpoint>& real);
+  boost::asio::ip::udp::endpoint talkOf(std::uint32_t gateway) const { return mesh_->address(gateway); }
+
   void begin(std::size_t fault) { turn(fault, true); }  // of plan.faults
   void end(std::size_t fault) { turn(fault, false); }
   std::size_t proxies() const;
@@ -37,6 +42,7 @@
 
   void turn(std::size_t fault, bool on);
   Fault at(std::uint32_t gateway) const;
+  Fault between(std::uint32_t from, std::uint32_t to) const;
   Fault at(const Group& group, std::uint32_t host) const;
 
   boost::asio::io_context& io_;
@@ -47,6 +53,7 @@
   std::vector<std::unique_ptr<FaultProxy>> discoveries_;  // by gateway; null: straight
   std::vector<Group> groups_;                             // by gateway
   std::map<std::pair<Group, std::uint32_t>, std::unique_ptr<FaultProxy>> hosts_;
+  std::unique_ptr<DatagramMesh> mesh_;
 };
 
 }  // namespace fennelridge::lab
--- a/src/lab/rig/plan.cpp
+++ b/src/lab/rig/plan.cpp
@@ -15,10 +15,13 @@
     {"for_s", "s", 0.001, 86400, "then the links pass again", &RigFault::forS},
     {"gateways", "", 0, 0, "which: all, N, A-B, EVERY:OFFSET, joined by commas; !PART takes away",
      &RigFault::gatewaysText},
-    {"to", "", 0, 0, "\"discovery\" or \"hosts\"", &RigFault::to},
+    {"to", "", 0, 0, "\"discovery\", \"hosts\" or \"gateways\" (what they tell each other)", &RigFault::to},
+    {"others", "", 0, 0, "which other gateways, as for gateways; only with \"to\": \"gateways\"",
+     &RigFault::othersText},
     {"hosts", "", 0, 0, "which, as for gateways; only with \"to\": \"hosts\"", &RigFault::hostsText},
     {"fault", "", 0, 0,
-     "cut, reset, silent, silent-there, silent-back, delay=MS+JITTER, loss=SHARE, rate=KB_PER_S",
+     "cut, reset, silent, silent-there, silent-back, delay=MS+JITTER, loss=SHARE, rate=KB_PER_S; between "
+     "gateways also copy=SHARE, spoil=SHARE, and not cut, reset, rate",
      &RigFault::faultText}};
 
 const std::vector<Field<RigMove>> kMove{
@@ -41,7 +44,20 @@
      "most held at one host over the mean of the hosts' peaks, in the 2 s after gateways came back",
      &RigBounds::herdPeak},
     {"handshakes_per_request", "", 0, 100, "at most", &RigBounds::handshakesPerRequest},
-    {"from_s", "s", 0, 86400, "spread is counted from here on", &RigBounds::fromS}};
+    {"from_s", "s", 0, 86400, "spread is counted from here on", &RigBounds::fromS},
+    {"retries_over", "uses", 0, 1e9, "of the fleet's retry budget beyond it in any window, at most",
+     &RigBounds::retriesOver},
+    {"limits_over", "uses", 0, 1e9, "of any limit beyond it in any window, at most", &RigBounds::limitsOver},
+    {"detect_p99_s", "s", 0, 600, "until a killed gateway is doubted by another, at most",
+     &RigBounds::detectP99S},
+    {"false_deaths", "", 0, 1e9, "gateways held for dead that lived and were heard, at most",
+     &RigBounds::falseDeaths},
+    {"healed_s", "s", 0, 600, "after the last split until nobody holds a living one for dead, at most",
+     &RigBounds::healedS},
+    {"bytes_per_member_s", "B/s", 0, 1e9, "that a gateway tells others, in the mean, at most",
+     &RigBounds::bytesPerMemberS},
+    {"hosts_out", "", 0, 100000, "by the fleet's word at once, at most", &RigBounds::hostsOut},
+    {"hosts_ever_out", "", 0, 100000, "by the fleet's word at any time, at least", &RigBounds::hostsEverOut}};
 
 const std::vector<Field<RigPlan>> kPlan{
     {"name", "", 0, 0, "name of the play", &RigPlan::name},
@@ -124,7 +140,7 @@
   RigReading out;
   RigPlan& p = out.plan;
   std::vector<Mistake>& m = out.mistakes;
-  readFields(object, kPlan, {"set", "faults", "moves", "within"}, "", p, m);
+  readFields(object, kPlan, {"set", "faults", "moves", "within", "fleet"}, "", p, m);
   if (!object.is_object()) return out;
   if (p.scenarioFile.empty()) m.push_back({"scenario", "is missing; it names a scenario file"});
   if (const auto set = object.find("set"); set != object.end()) {
@@ -132,9 +148,16 @@
     else
       for (const auto& [field, value] : set->items()) p.set.push_back(field + "=" + value.dump());
   }
+  if (const auto fleet = object.find("fleet"); fleet != object.end()) {
+    if (!fleet->is_object()) m.push_back({"fleet", "should be an object {...}, as in an operator file"});
+    else p.fleet = fleet->dump();
+  }
   list(object, "faults", kFault, p.faults, m, [&](RigFault& f, const std::string& at) {
-    if (f.to != "discovery" && f.to != "hosts")
-      m.push_back({at + ".to", "is '" + f.to + "'; it should be \"discovery\" or \"hosts\""});
+    if (f.to != "discovery" && !f.toHosts() && !f.toGateways())
+      m.push_back({at + ".to", "is '" + f.to + "'; it should be \"discovery\", \"hosts\" or \"gateways\""});
+    if (f.toGateways() && p.fleet.empty())
+      m.push_back({at + ".to", "is \"gateways\", which tell each other nothing: \"fleet\" is missing"});
+    f.others = Pickout(f.othersText);
     f.gateways = Pickout(f.gatewaysText);
     f.hosts = Pickout(f.hostsText);
     f.fault = readFault(f.faultText);
--- a/src/lab/rig/plan.hpp
+++ b/src/lab/rig/plan.hpp
@@ -34,12 +34,14 @@
   std::vector<Part> parts_;
 };
 
-struct RigFault {  // on the links between some gateways and their discovery, or some hosts
+struct RigFault {  // on the links between some gateways and their discovery, some hosts, or other gateways
   double fromS = 0, forS = 0;
-  std::string gatewaysText = "all", hostsText = "all", to = "discovery", faultText = "cut";
-  Pickout gateways, hosts;
+  std::string gatewaysText = "all", hostsText = "all", othersText = "all", to = "discovery";
+  std::string faultText = "cut";
+  Pickout gateways, hosts, others;
   Fault fault;
   bool toHosts() const { return to == "hosts"; }
+  bool toGateways() const { return to == "gateways"; }
 };
 
 struct RigMove {  // of gateway processes
@@ -56,6 +58,11 @@
   double herdPeak = -1;              // most, in the 2 s after gateways came back; without any, over the day
   double handshakesPerRequest = -1;  // most
   double fromS = 0;                  // spread is counted from here on
+  // Of what the gateways' logs show; see FleetCheck. `over`: uses beyond the budget, or a limit, in any
+  // window.
+  double retriesOver = -1, limitsOver = -1, detectP99S = -1, falseDeaths = -1, healedS = -1;
+  double bytesPerMemberS = -1, hostsOut = -1;  // most
+  double hostsEverOut = -1;                    // least
 };
 
 struct RigPlan {
@@ -63,6 +70,7 @@
   std::vector<std::string> set;  // assignments to the scenario's fields, as --set takes them
   std::vector<RigFault> faults;
   std::vector<RigMove> moves;
+  std::string fleet;  // operator file of the gateways as JSON, without names and addresses; empty: none
   RigBounds within;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,8 @@
 #include <iostream>
 #include <optional>
 
+#include "fleet/agent.hpp"
+#include "fleet/config.hpp"
 #include "net/config.hpp"
 #include "net/gateway.hpp"
 #include "ops/admin_server.hpp"
@@ -49,11 +51,33 @@
   return std::string(base) + "/" + cairnjunction::fileNameOf(config.name) + "-state";
 }
 
+// What the gateway shares with its fleet; nothing unless an operator names a file.
+std::optional<fennelridge::fleet::Config> readFleet(const Config& config) {
+  const char* file = std::getenv("GW_FLEET");
+  if (!file || !*file) return std::nullopt;
+  return fennelridge::fleet::readFleetFile(file, config.name);
+}
+
+void joinFleet(boost::asio::io_context& io, cairnjunction::Gateway& gateway,
+               std::optional<fennelridge::fleet::Agent>& agent, fennelridge::fleet::Config config) {
+  agent.emplace(io, std::move(config),
+                fennelridge::fleet::Agent::Controls{
+                    [&](const std::string& uid, bool out) { gateway.takeOutForFleet(uid, out); },
+                    [&] { gateway.allowanceMoved(); }, log});
+  gateway.joinFleet(
+      {[&](std::string_view cls, std::string_view tenant) { return agent->mayTake(cls, tenant); },
+       [&] { agent->retried(); }, [&] { return agent->retriesAllowed(); },
+       [&](const std::string& uid, bool good) { agent->attemptEnded(uid, good); },
+       [&](std::vector<std::string> uids) { agent->listed(std::move(uids)); }});
+}
+
 int serve() {
   boost::asio::io_context io(1);
   // Danger: until they are taken, signals end the process; so before anything that takes its time.
   boost::asio::signal_set stops(io, SIGTERM, SIGINT), hangups(io, SIGHUP);
   const Config config = readFile(Reading::atStart);
+  std::optional<fennelridge::fleet::Config> fleetConfig = readFleet(config);
+  std::optional<fennelridge::fleet::Agent> agent;  // outlives the gateway, which asks and tells it
   cairnjunction::Gateway gateway(io, config, {}, log);
   cairnjunction::Console console(
       stateDirectory(config), std::chrono::ceil<std::chrono::seconds>(config.module.coldTime),
@@ -62,12 +86,21 @@
        [&](bool paired) { gateway.setPaired(paired); }, log});
   gateway.onListed([&](const std::string& uid) { console.listed(uid); });
   cairnjunction::ConsoleWatch watch(io, console);
+  if (fleetConfig) joinFleet(io, gateway, agent, std::move(*fleetConfig));
   std::optional<cairnjunction::AdminServer> admin;
   if (config.admin)
     admin.emplace(io, *config.admin, cairnjunction::AdminServer::Limits{},
-                  [&](const cairnjunction::AdminCall& call) { return console.handle(call); });
+                  [&](const cairnjunction::AdminCall& call) {
+                    if (agent && call.path == "/fleet" && call.method == "GET")
+                      return cairnjunction::AdminReply{200, agent->report(), {}};
+                    return console.handle(call);
+                  });
   stops.async_wait([&](boost::system::error_code ec, int) {
-    if (!ec) gateway.stop([&] { io.stop(); });
+    if (ec) return;
+    gateway.stop([&] {
+      if (agent) agent->leave();
+      io.stop();
+    });
   });
   reloadAtEachHangup(hangups, gateway);
   io.run();
@@ -83,6 +116,9 @@
   } catch (const cairnjunction::BadConfig& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kBadConfig;
+  } catch (const fennelridge::fleet::BadFleetFile& bad) {
+    std::cerr << "cairnjunction: " << bad.what() << '\n';
+    return kBadConfig;
   } catch (const std::exception& bad) {
     std::cerr << "cairnjunction: " << bad.what() << '\n';
     return kFailed;
--- a/src/membership/codec.cpp
+++ b/src/membership/codec.cpp
@@ -66,6 +66,14 @@
   bool good_ = true;
 };
 
+constexpr std::size_t kSumBytes = sizeof(XXH64_canonical_t);
+
+std::string sumOf(std::string_view data) {
+  XXH64_canonical_t out;
+  XXH64_canonicalFromHash(&out, XXH3_64bits(data.data(), data.size()));
+  return {reinterpret_cast<const char*>(out.digest), sizeof out.digest};
+}
+
 // Danger: asked not to throw, the library still does for an array that claims an impossible length.
 json parse(std::string_view datagram) {
   try {
@@ -117,11 +125,14 @@
                    json::binary({m.payload.begin(), m.payload.end()})};
   std::string out;
   json::to_cbor(array, out);
-  return out;
+  return out + sumOf(out);
 }
 
 std::variant<Message, Reject> decode(std::string_view datagram, std::uint64_t fleet) {
-  if (datagram.size() > kDatagramMost) return Reject::malformed;
+  if (datagram.size() > kDatagramMost || datagram.size() < kSumBytes) return Reject::malformed;
+  const std::string_view sum = datagram.substr(datagram.size() - kSumBytes);
+  datagram.remove_suffix(kSumBytes);
+  if (sum != sumOf(datagram)) return Reject::malformed;
   const json array = parse(datagram);
   if (!array.is_array() || array.empty() || !array[format].is_number_unsigned()) return Reject::malformed;
   if (array[format].get<std::uint64_t>() != kFormat) return Reject::otherFormat;
@@ -130,7 +141,7 @@
   Message m;
   const auto of = f.number<std::uint64_t>(fleetAt);
   m.kind = static_cast<Message::Kind>(
-      f.number<std::uint8_t>(kind, static_cast<std::uint64_t>(Message::Kind::state)));
+      f.number<std::uint8_t>(kind, static_cast<std::uint64_t>(Message::Kind::share)));
   m.sequence = f.number<std::uint32_t>(sequence);
   m.from = f.name(from, false);
   m.version = {f.number<std::uint64_t>(boot), f.number<std::uint32_t>(incarnation)};
--- a/src/membership/codec.hpp
+++ b/src/membership/codec.hpp
@@ -1,5 +1,7 @@
-// Datagrams of the fleet: one message each, as a CBOR array (RFC 8949). What comes from the network is never
-// trusted: it is a message of our fleet and format, whole and within bounds, or a reason why not.
+// Datagrams of the fleet: one message each, as a CBOR array (RFC 8949), and the XXH3 sum of it in 8 bytes,
+// big end first. A flipped bit would else make rights out of nothing. It keeps no forger out. What comes from
+// the network is never trusted: it is a message of our fleet and format, whole and within bounds, or a reason
+// why not.
 #pragma once
 
 #include <cstdint>
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -236,7 +236,7 @@
     ++r->sent;
   }
   std::erase_if(rumours_, [&](const auto& r) { return r.second.sent >= most; });
-  sends_.push_back({to, std::move(message)});
+  sends_.push_back({to, std::move(message), std::string(about)});
 }
 
 // All that is known, in parts. The dead are told of for half of the time that they are remembered: else those
@@ -248,7 +248,7 @@
   part.version = own_;
   std::size_t bytes = 0;
   const auto out = [&] {
-    sends_.push_back({to, part});
+    sends_.push_back({to, part, {}});
     part.claims.clear();
     bytes = 0;
   };
@@ -310,6 +310,7 @@
       send(from, std::move(reply));
       break;
     case Message::Kind::state: joining_ = false; break;
+    case Message::Kind::share: break;
   }
   arm();
 }
@@ -455,12 +456,21 @@
     last.from = set_.name;
     last.version = own_;
     last.claims.push_back({set_.name, set_.address, State::left, own_, set_.name});
-    sends_.push_back({m->address, std::move(last)});
+    sends_.push_back({m->address, std::move(last), {}});
   }
   left_ = true;
   next_ = kNever;
 }
 
+void Membership::share(std::size_t count) {
+  if (left_ || superseded_) return;
+  for (const Member* m : draw(count)) {
+    Message out;
+    out.kind = Message::Kind::share;
+    send(m->address, std::move(out), m->name);
+  }
+}
+
 void Membership::arm() {
   if (left_ || superseded_) {
     next_ = kNever;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -53,7 +53,8 @@
     nack,      // it has not answered me so far
     join,      // tell me all that you know
     sync,      // this is the digest of whom I know to live; if yours differs, tell me all
-    state      // part of all that I know
+    state,     // part of all that I know
+    share      // nothing but what the fleet shares
   };
   Kind kind = Kind::ping;
   std::uint32_t sequence = 0;
@@ -105,6 +106,7 @@
   struct Send {
     Address to;
     Message message;
+    std::string member;  // who is there, where the message may carry a payload; empty: none
   };
   struct Counts {
     std::uint64_t probes = 0, failedProbes = 0, suspicions = 0, refutations = 0;
@@ -118,7 +120,8 @@
   void onMessage(Time now, Address from, const Message& message);
   void onTimer(Time now);  // from nextTimer() on
   Time nextTimer() const { return next_; }
-  void leave(Time now);  // tells some; from then on nothing is sent or heeded
+  void leave(Time now);           // tells some; from then on nothing is sent or heeded
+  void share(std::size_t count);  // a message to some living others, for what travels along
 
   // What was raised by the calls since; the caller takes them.
   std::vector<Send>& sends() { return sends_; }
--- /dev/null
+++ b/src/shared/judgements.cpp
@@ -0,0 +1,201 @@
+#include "shared/judgements.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace fennelridge::shared {
+namespace {
+
+constexpr std::size_t kRelaysMost = 8;    // remembered for one judgement
+constexpr std::size_t kOpenedMost = 256;  // pending judgements that one relay may open: a flood ends there
+constexpr std::int64_t kAheadMs = 5000;   // of our clock: more is nonsense
+constexpr std::size_t kDoubtedLeast = 3;  // hosts that an observer must find bad before it is itself in doubt
+
+std::int64_t ms(std::chrono::nanoseconds t) { return t / std::chrono::milliseconds(1); }
+
+}  // namespace
+
+std::string_view nameOf(Verdict verdict) {
+  constexpr std::array<std::string_view, 3> names{"well", "suspect", "bad"};
+  return names[static_cast<std::size_t>(verdict)];
+}
+
+bool join(JudgementMap& into, const JudgementKey& key, const Judgement& judgement) {
+  const auto [it, fresh] = into.try_emplace(key, judgement);
+  if (!fresh && !(it->second < judgement)) return false;
+  it->second = judgement;
+  return true;
+}
+
+void join(JudgementMap& into, const JudgementMap& other) {
+  for (const auto& [key, judgement] : other) join(into, key, judgement);
+}
+
+template <class Drop>
+void Judgements::dropPending(Drop drop) {
+  std::erase_if(pending_, [&](const auto& entry) {
+    if (!drop(entry.first, entry.second)) return false;
+    if (const auto it = opened_.find(entry.second.first); it != opened_.end() && --it->second == 0)
+      opened_.erase(it);
+    return true;
+  });
+}
+
+void Judgements::onHosts(std::vector<std::string> hosts) {
+  hosts_ = {hosts.begin(), hosts.end()};
+  const auto gone = [this](const auto& entry) { return !hosts_.contains(entry.first); };
+  std::erase_if(evidence_, gone);
+  const auto about = [this](const auto& entry) { return !hosts_.contains(entry.first.host); };
+  std::erase_if(accepted_, about);
+  dropPending([this](const JudgementKey& key, const Pending&) { return !hosts_.contains(key.host); });
+  std::erase_if(told_, about);
+}
+
+void Judgements::onOutcome(Time now, const std::string& host, bool good) {
+  if (!hosts_.contains(host)) return;
+  auto& [goods, failures] = evidence_[host].seconds[now / std::chrono::seconds(1)];
+  ++(good ? goods : failures);
+}
+
+bool Judgements::onHeard(Time now, const std::string& sender, const JudgementKey& key, const Judgement& j) {
+  if (key.observer == own_.name) return true;  // our own word, come back
+  const bool nonsense = j.atMs > ms(now) + kAheadMs || j.verdict > Verdict::bad;
+  if (nonsense) ++dropped_;
+  if (nonsense || !hosts_.contains(key.host) || j.atMs < ms(now) - ms(set_.life)) return !nonsense;
+  if (const auto it = accepted_.find(key); it != accepted_.end() && !(it->second < j)) return true;
+  if (sender == key.observer) {
+    accept(key, j);
+    return true;
+  }
+  return hearRelayed(sender, key, j);
+}
+
+// Two relays with the same word: one of them may lie, and no honest one passes on what it has not accepted.
+bool Judgements::hearRelayed(const std::string& relay, const JudgementKey& key, const Judgement& j) {
+  const auto known = pending_.find(key);
+  if (known == pending_.end() && opened_[relay] >= kOpenedMost) {
+    ++dropped_;
+    return false;
+  }
+  Pending& p = known != pending_.end() ? known->second : pending_[key];
+  if (p.first.empty()) p.first = relay, ++opened_[relay];
+  if (p.byRelay.size() >= kRelaysMost && !p.byRelay.contains(relay)) return true;
+  p.byRelay[relay] = j;
+  for (const auto& [other, word] : p.byRelay)
+    if (other != relay && word == j) {
+      accept(key, j);
+      break;
+    }
+  return true;
+}
+
+void Judgements::accept(const JudgementKey& key, const Judgement& j) {
+  if (!join(accepted_, key, j)) return;
+  told_[key] = 0;
+  dropPending([&key](const JudgementKey& k, const Pending&) { return k == key; });
+}
+
+// What this gateway itself has seen. Danger: one that is cut off finds all hosts bad; that says more of
+// itself, so beyond the share of hosts that may be out it keeps silent.
+void Judgements::judge(Time now) {
+  const std::int64_t second = now / std::chrono::seconds(1);
+  const std::int64_t from = second - set_.window / std::chrono::seconds(1);
+  std::set<std::string> doubted;  // by others
+  for (const auto& [key, j] : accepted_)
+    if (key.observer != own_.name && j.verdict == Verdict::bad) doubted.insert(key.host);
+  std::map<std::string, Judgement> mine;
+  std::size_t bad = 0;
+  for (auto& [host, evidence] : evidence_) {
+    auto& seconds = evidence.seconds;
+    seconds.erase(seconds.begin(), seconds.upper_bound(from));
+    Judgement j;
+    for (const auto& [at, n] : seconds) j.good += n.first, j.failed += n.second;
+    const std::uint32_t all = j.good + j.failed;
+    const double share = all > 0 ? static_cast<double>(j.failed) / all : 0;
+    if (j.failed >= set_.least && share >= set_.badShare) j.verdict = Verdict::bad, ++bad;
+    else if (j.failed >= 2 && share >= set_.suspectShare) j.verdict = Verdict::suspect;
+    else if (j.good < set_.least || !doubted.contains(host)) continue;  // nothing to say
+    mine.emplace(host, j);
+  }
+  std::erase_if(evidence_, [](const auto& entry) { return entry.second.seconds.empty(); });
+  const double most = set_.mostOut * static_cast<double>(hosts_.size());
+  const bool doubtful = bad >= kDoubtedLeast && static_cast<double>(bad) > most;
+  for (auto& [host, j] : mine) {
+    if (doubtful) break;
+    const JudgementKey key{own_.name, host};
+    const auto before = accepted_.find(key);
+    const bool same = before != accepted_.end() && before->second.verdict == j.verdict;
+    if (same && ms(now) - before->second.atMs < ms(set_.life) / 3) continue;
+    j.life = own_.number;
+    j.sequence = before == accepted_.end() ? 1 : before->second.sequence + 1;
+    j.atMs = ms(now);
+    accept(key, j);
+  }
+}
+
+void Judgements::onTick(Time now, const FleetView& view) {
+  const std::int64_t oldest = ms(now) - ms(set_.life);
+  const auto aged = [oldest](const Judgement& j) { return j.atMs < oldest; };
+  std::erase_if(accepted_, [&](const auto& entry) {
+    if (!aged(entry.second)) return false;
+    told_.erase(entry.first);
+    return true;
+  });
+  dropPending([&](const JudgementKey&, const Pending& p) {
+    return std::all_of(p.byRelay.begin(), p.byRelay.end(), [&](const auto& w) { return aged(w.second); });
+  });
+  judge(now);
+  decide(view);
+}
+
+// The order of those that qualify comes from their names alone, so that gateways that know the same choose
+// the same. In a split each part may take out its share of the cap: together they keep to it.
+void Judgements::decide(const FleetView& view) {
+  std::map<std::string, std::size_t> badBy;                           // by observer
+  std::map<std::string, std::pair<std::size_t, std::size_t>> voices;  // by host: bad, well
+  for (const auto& [key, j] : accepted_) badBy[key.observer] += j.verdict == Verdict::bad;
+  const double all = static_cast<double>(hosts_.size());
+  for (const auto& [key, j] : accepted_) {
+    if (!view.living.contains(key.observer)) continue;
+    const std::size_t found = badBy[key.observer];
+    if (found >= kDoubtedLeast && static_cast<double>(found) > set_.mostOut * all) continue;
+    auto& [bad, well] = voices[key.host];
+    if (j.verdict == Verdict::bad) ++bad;
+    if (j.verdict == Verdict::well) ++well;
+  }
+  const double part =
+      static_cast<double>(view.alive) / static_cast<double>(std::max<std::size_t>(view.known, 1));
+  cap_ = static_cast<std::size_t>(std::floor(set_.mostOut * all * std::min(part, 1.0) + 1e-9));
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  for (const auto& [host, n] : voices)
+    if (n.first >= set_.quorum && n.first > n.second)
+      order.emplace_back(XXH3_64bits(host.data(), host.size()), host);
+  std::sort(order.begin(), order.end());
+  if (order.size() > cap_) order.resize(cap_);
+  out_.clear();
+  for (auto& [hash, host] : order) out_.insert(std::move(host));
+}
+
+std::vector<std::pair<JudgementKey, Judgement>> Judgements::toTell(std::size_t count, unsigned times) {
+  std::vector<std::map<JudgementKey, unsigned>::iterator> order;
+  for (auto it = told_.begin(); it != told_.end(); ++it)
+    if (it->second < times) order.push_back(it);
+  std::stable_sort(order.begin(), order.end(), [](auto a, auto b) { return a->second < b->second; });
+  if (order.size() > count) order.resize(count);
+  std::vector<std::pair<JudgementKey, Judgement>> out;
+  for (const auto& it : order) {
+    ++it->second;
+    out.emplace_back(it->first, accepted_.at(it->first));
+  }
+  return out;
+}
+
+bool Judgements::anythingToTell(unsigned times) const {
+  return std::any_of(told_.begin(), told_.end(), [times](const auto& t) { return t.second < times; });
+}
+
+}  // namespace fennelridge::shared
--- /dev/null
+++ b/src/shared/judgements.hpp
@@ -0,0 +1,104 @@
+// What the gateways of a fleet hold of the hosts, and which hosts are out for all: a last-writer map by
+// (observer, host), a quorum of independent observers, and a cap. Pure: no I/O, no clock.
+//
+// One broken or lying gateway moves nothing: it has one voice for each host, and a judgement that came over
+// others counts only once two of them brought the same (certified propagation with one fault; Koo, 2004).
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "shared/escrow.hpp"
+
+namespace fennelridge::shared {
+
+enum class Verdict : std::uint8_t { well, suspect, bad };
+std::string_view nameOf(Verdict verdict);
+
+struct Judgement {
+  std::uint64_t life = 0;      // of its observer
+  std::uint32_t sequence = 0;  // of this observer on this host; the later one holds
+  std::int64_t atMs = 0;       // Unix milliseconds by the observer's clock
+  Verdict verdict = Verdict::well;
+  std::uint32_t good = 0, failed = 0;  // the evidence: outcomes within the observer's window
+  auto operator<=>(const Judgement&) const = default;
+};
+
+struct JudgementKey {
+  std::string observer, host;
+  auto operator<=>(const JudgementKey&) const = default;
+};
+
+// The map that joins: of two words on a key the greater one, by life, then sequence, then all else.
+using JudgementMap = std::map<JudgementKey, Judgement>;
+bool join(JudgementMap& into, const JudgementKey& key, const Judgement& judgement);  // false: nothing new
+void join(JudgementMap& into, const JudgementMap& other);
+
+struct JudgementSettings {
+  std::chrono::nanoseconds window = std::chrono::seconds(10);  // of outcomes that an own verdict looks at
+  unsigned least = 3;                                          // failures in it before a host is found bad
+  double badShare = 0.5;       // of the outcomes that failed, from which on it is
+  double suspectShare = 0.25;  // and from which on it is suspect
+  unsigned quorum = 3;         // observers that find it bad before it is out
+  double mostOut = 0.2;        // of the hosts, in the whole fleet
+  std::chrono::nanoseconds life = std::chrono::seconds(30);  // of a judgement that is not renewed
+};
+
+struct FleetView {                            // what membership says now
+  std::size_t alive = 1, known = 1;           // with this member; known: also the dead that are not forgotten
+  bool settled = false;                       // it has met the fleet, or is all of it
+  std::set<std::string, std::less<>> living;  // by name, with this one
+};
+
+class Judgements {
+ public:
+  Judgements(JudgementSettings settings, Life own) : set_(settings), own_(std::move(own)) {}
+
+  void onHosts(std::vector<std::string> hosts);  // those that discovery lists
+  void onOutcome(Time now, const std::string& host, bool good);
+  // A judgement that `sender` told of; first-hand where it is its own. False: dropped, as it is nonsense.
+  bool onHeard(Time now, const std::string& sender, const JudgementKey& key, const Judgement& judgement);
+  void onTick(Time now, const FleetView& view);  // judges anew, ages, decides
+
+  const std::set<std::string>& out() const { return out_; }  // for all, as seen from here
+  std::size_t cap() const { return cap_; }                   // most of them
+  const JudgementMap& accepted() const { return accepted_; }
+  // Some that were least told on, `count` at most; each is told so many times as `times` says.
+  std::vector<std::pair<JudgementKey, Judgement>> toTell(std::size_t count, unsigned times);
+  bool anythingToTell(unsigned times) const;
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  struct Evidence {
+    std::map<std::int64_t, std::pair<std::uint32_t, std::uint32_t>> seconds;  // good, failed
+  };
+  struct Pending {  // heard over others only: the latest word that each of a few brought
+    std::string first;
+    std::map<std::string, Judgement> byRelay;
+  };
+
+  void accept(const JudgementKey& key, const Judgement& judgement);
+  bool hearRelayed(const std::string& relay, const JudgementKey& key, const Judgement& judgement);
+  template <class Drop>
+  void dropPending(Drop drop);
+  void judge(Time now);
+  void decide(const FleetView& view);
+
+  JudgementSettings set_;
+  Life own_;
+  std::set<std::string> hosts_;
+  std::map<std::string, Evidence> evidence_;
+  JudgementMap accepted_;
+  std::map<JudgementKey, Pending> pending_;
+  std::map<std::string, std::size_t> opened_;  // pending keys that a relay was the first to bring
+  std::map<JudgementKey, unsigned> told_;      // how many times, of accepted ones
+  std::set<std::string> out_;
+  std::size_t cap_ = 0;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace fennelridge::shared
--- /dev/null
+++ b/src/shared/state.cpp
@@ -0,0 +1,269 @@
+#include "shared/state.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace fennelridge::shared {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kNameMost = 128;      // bytes of a host's or member's name
+constexpr std::size_t kThingsMost = 64;     // counted things in a row
+constexpr std::size_t kListMost = 256;      // entries of one list in a payload
+constexpr std::size_t kJudgementsEach = 6;  // in one message
+constexpr unsigned kRowTimes = 2;           // a row that grew is told on so often by each member
+constexpr double kJudgementSpread = 4;      // times log10 of the members
+constexpr Time kRowLeast = std::chrono::seconds(2), kRowEach = std::chrono::milliseconds(100);
+constexpr Time kRowLife = std::chrono::seconds(300);  // without growth: its life is over
+enum Thing { requests, retries, firstLimit };
+enum At { planAt, lifeAt, wantsAt, toLifeAt, grantsAt, rowsAt, judgementsAt, fields };
+
+Slot slotOf(Time now, Time length) { return now / length; }
+
+// Danger: from the network. Any throw of the library or of these means the payload is malformed.
+struct Malformed {};
+const json& list(const json& v) {
+  if (!v.is_array() || v.size() > kListMost) throw Malformed();
+  return v;
+}
+const json& row(const json& v, std::size_t size) {
+  if (!v.is_array() || v.size() != size) throw Malformed();
+  return v;
+}
+std::uint64_t number(const json& v, std::uint64_t most = UINT64_MAX) {
+  if (!v.is_number_unsigned() || v.get<std::uint64_t>() > most) throw Malformed();
+  return v.get<std::uint64_t>();
+}
+std::string name(const json& v) {
+  if (!v.is_string() || v.get_ref<const std::string&>().empty() ||
+      v.get_ref<const std::string&>().size() > kNameMost)
+    throw Malformed();
+  return v.get<std::string>();
+}
+
+struct Payload {
+  std::uint64_t life = 0, toLife = 0;
+  std::vector<std::pair<std::size_t, Amount>> wants;
+  std::map<std::size_t, std::vector<Grant>> grants;
+  std::vector<std::pair<Life, Counts::Row>> rows;
+  std::vector<std::pair<JudgementKey, Judgement>> judgements;
+};
+
+Payload read(const json& v, std::size_t budgets) {
+  Payload p;
+  p.life = number(v[lifeAt]);
+  p.toLife = number(v[toLifeAt]);
+  for (const json& w : list(v[wantsAt]))
+    p.wants.emplace_back(number(row(w, 2)[0], budgets - 1), static_cast<Amount>(number(w[1], kAmountMost)));
+  for (const json& g : list(v[grantsAt]))
+    p.grants[number(row(g, 3)[0], budgets - 1)].push_back(
+        {static_cast<Slot>(number(g[1], INT64_MAX / 2)), static_cast<Amount>(number(g[2], kAmountMost))});
+  for (const json& r : list(v[rowsAt])) {
+    Counts::Row figures;
+    row(r, 3);
+    if (!r[2].is_array() || r[2].size() > kThingsMost) throw Malformed();
+    for (const json& n : r[2]) figures.push_back(number(n));
+    p.rows.push_back({{name(r[0]), number(r[1])}, std::move(figures)});
+  }
+  for (const json& j : list(v[judgementsAt])) {
+    row(j, 8);
+    Judgement out;
+    out.life = number(j[2]);
+    out.sequence = static_cast<std::uint32_t>(number(j[3], UINT32_MAX));
+    out.atMs = static_cast<std::int64_t>(number(j[4], INT64_MAX / 2));
+    out.verdict = static_cast<Verdict>(number(j[5], static_cast<std::uint64_t>(Verdict::bad)));
+    out.good = static_cast<std::uint32_t>(number(j[6], UINT32_MAX));
+    out.failed = static_cast<std::uint32_t>(number(j[7], UINT32_MAX));
+    p.judgements.push_back({{name(j[0]), name(j[1])}, out});
+  }
+  return p;
+}
+
+}  // namespace
+
+std::uint32_t fingerprint(const Plan& p) {
+  json all{p.members,           p.slot.count(),       p.retryShare,
+           p.retrySlots,        p.limitSlots,         p.judgesHosts,
+           p.judgements.quorum, p.judgements.mostOut, p.judgements.life.count()};
+  for (const LimitPlan& l : p.limits)
+    all.push_back({l.name, l.requestClass, l.tenant, l.perSecond, l.openWhileUnknown});
+  const std::string text = all.dump();
+  return static_cast<std::uint32_t>(XXH3_64bits(text.data(), text.size()));
+}
+
+FleetState::FleetState(Plan plan, std::string name, std::uint64_t life, Time now)
+    : plan_(std::move(plan)),
+      fingerprint_(fingerprint(plan_)),
+      own_{std::move(name), life},
+      slot_(slotOf(now, plan_.slot)),
+      firstSlot_(slot_ + 1),
+      retry_(plan_.retrySlots),
+      limits_(plan_.limits.size(), Escrow(plan_.limitSlots)),
+      counts_(firstLimit + plan_.limits.size()),
+      judgements_(plan_.judgements, own_) {
+  counters_.admitted.resize(plan_.limits.size());
+  view_.living.insert(own_.name);
+  for (std::size_t i = 0; i <= limits_.size(); ++i) budget(i).advance(slot_);
+}
+
+// Each slot gives each member its part of every limit, by the members that it last knew to be in the fleet:
+// also those it hears nothing of, whose part is theirs to spend.
+void FleetState::advance(Time now) {
+  const Slot slot = slotOf(now, plan_.slot);
+  if (slot <= slot_) return;
+  slot_ = slot;
+  for (std::size_t i = 0; i <= limits_.size(); ++i) budget(i).advance(slot);
+  if (slot < firstSlot_ || !settled_) return;
+  const auto members = static_cast<double>(std::max(view_.known, plan_.members));
+  const double seconds = std::chrono::duration<double>(plan_.slot).count();
+  for (std::size_t i = 0; i < limits_.size(); ++i)
+    limits_[i].mint(static_cast<Amount>(
+        std::floor(plan_.limits[i].perSecond * seconds * static_cast<double>(kOne) / members)));
+}
+
+bool FleetState::onRequest(Time now, std::string_view requestClass, std::string_view tenant) {
+  advance(now);
+  std::vector<std::size_t> held;
+  for (std::size_t i = 0; i < limits_.size(); ++i) {
+    const LimitPlan& l = plan_.limits[i];
+    if ((!l.requestClass.empty() && l.requestClass != requestClass) ||
+        (!l.tenant.empty() && l.tenant != tenant))
+      continue;
+    if (settled_ ? limits_[i].held() >= kOne : l.openWhileUnknown) {
+      held.push_back(i);
+      continue;
+    }
+    if (settled_) limits_[i].spend();  // denied, and known as demand
+    ++counters_.refused;
+    return false;
+  }
+  for (std::size_t i : held) {
+    if (settled_) limits_[i].spend();
+    ++counters_.admitted[i];
+    counts_.add(own_, firstLimit + i);
+  }
+  ++counters_.requests;
+  counts_.add(own_, requests);
+  if (plan_.retryShare >= 0)
+    retry_.mint(static_cast<Amount>(std::floor(plan_.retryShare * static_cast<double>(kOne))));
+  return true;
+}
+
+unsigned FleetState::retriesAllowed() const {
+  return plan_.retryShare < 0 ? kNoLimit : static_cast<unsigned>(retry_.held() / kOne);
+}
+
+void FleetState::onRetry(Time now) {
+  advance(now);
+  if (plan_.retryShare >= 0 && !retry_.spend()) ++counters_.retriesOverdrawn;
+  ++counters_.retries;
+  counts_.add(own_, retries);
+}
+
+void FleetState::onOutcome(Time now, const std::string& host, bool good) {
+  if (plan_.judgesHosts) judgements_.onOutcome(now, host, good);
+}
+
+void FleetState::onTick(Time now, const FleetView& view) {
+  view_ = view;
+  settled_ |= view.settled;
+  advance(now);
+  if (plan_.judgesHosts) judgements_.onTick(now, view);
+  const Time every = std::max<Time>(kRowLeast, kRowEach * static_cast<Time::rep>(view.known));
+  if (now - ownRowAt_ >= every && counts_.rows().contains(own_)) {
+    ownRowAt_ = now;
+    rows_[own_] = {now, 0};
+  }
+  std::erase_if(rows_, [&](const auto& entry) {
+    if (entry.first == own_ || now - entry.second.at < kRowLife) return false;
+    counts_.forget(entry.first);
+    return true;
+  });
+}
+
+bool FleetState::eager() const {
+  const auto isShort = [](const Escrow& e) { return e.held() < kOne && e.want() >= kOne; };
+  if (plan_.retryShare >= 0 && isShort(retry_)) return true;
+  if (std::any_of(limits_.begin(), limits_.end(), isShort)) return true;
+  return plan_.judgesHosts && judgements_.anythingToTell(1);
+}
+
+std::string FleetState::payloadFor(std::string_view member, std::size_t room) {
+  json wants = json::array(), grants = json::array(), rows = json::array(), verdicts = json::array();
+  const auto peer = lives_.find(member);
+  const std::uint64_t toLife = peer == lives_.end() ? 0 : peer->second;
+  for (std::size_t i = 0; i <= limits_.size(); ++i) {
+    if (i == 0 && plan_.retryShare < 0) continue;
+    if (const Amount want = budget(i).want(); want > 0) wants.push_back({i, std::min(want, kAmountMost)});
+    if (toLife == 0) continue;
+    for (const Grant& g : budget(i).givenTo({std::string(member), toLife}))
+      grants.push_back({i, g.slot, g.total});
+  }
+  const auto built = [&] {
+    std::string out;
+    if (wants.empty() && grants.empty() && rows.empty() && verdicts.empty()) return out;
+    json::to_cbor(json{fingerprint_, own_.number, wants, toLife, grants, rows, verdicts}, out);
+    return out;
+  };
+  std::string out = built();
+  const auto append = [&](json& to, json entry) {
+    to.push_back(std::move(entry));
+    std::string larger = built();
+    if (larger.size() > room) return to.erase(to.size() - 1), false;
+    out = std::move(larger);
+    return true;
+  };
+  if (plan_.judgesHosts) {
+    const auto times =
+        static_cast<unsigned>(std::ceil(kJudgementSpread * std::log10(static_cast<double>(view_.alive) + 1)));
+    for (const auto& [key, j] : judgements_.toTell(kJudgementsEach, times))
+      append(verdicts, {key.observer, key.host, j.life, j.sequence, j.atMs, static_cast<unsigned>(j.verdict),
+                        j.good, j.failed});
+  }
+  auto next = rows_.end();
+  for (auto it = rows_.begin(); it != rows_.end(); ++it)
+    if (it->second.times < kRowTimes && (next == rows_.end() || it->second.times < next->second.times))
+      next = it;
+  if (next != rows_.end() &&
+      append(rows, {next->first.name, next->first.number, counts_.rows().at(next->first)}))
+    ++next->second.times;
+  return out.size() <= room ? out : std::string();
+}
+
+bool FleetState::onPayload(Time now, const std::string& from, std::string_view payload) {
+  advance(now);
+  std::optional<Payload> p;
+  try {
+    const json v = json::from_cbor(payload.begin(), payload.end());
+    if (!v.is_array() || v.size() != fields) throw Malformed();
+    if (number(v[planAt]) != fingerprint_) {
+      ++counters_.otherPlan;
+      return false;
+    }
+    p = read(v, limits_.size() + 1);
+  } catch (const json::exception&) {
+  } catch (const Malformed&) {
+  }
+  bool sound = p.has_value();
+  if (sound) {
+    lives_[from] = p->life;
+    const Life sender{from, p->life};
+    if (p->toLife == own_.number)
+      for (const auto& [i, grants] : p->grants) sound &= budget(i).receive(sender, grants);
+    for (const auto& [i, amount] : p->wants) budget(i).give(sender, amount);
+    for (const auto& [life, figures] : p->rows)
+      if (life != own_ && counts_.merge(life, figures)) rows_[life] = {now, 0};
+    if (plan_.judgesHosts)
+      for (const auto& [key, j] : p->judgements) sound &= judgements_.onHeard(now, from, key, j);
+  }
+  if (!sound) ++counters_.badPayloads;
+  return sound;
+}
+
+}  // namespace fennelridge::shared
--- a/tests/fleet_sim.hpp
+++ b/tests/fleet_sim.hpp
@@ -48,7 +48,7 @@
     return Link{};
   };
   // What travels along: asked of each datagram, and handed over where it arrives.
-  std::function<std::string(std::size_t from, const Message&, std::size_t room)> payload;
+  std::function<std::string(std::size_t from, const std::string& to, std::size_t room)> payload;
   std::function<void(std::size_t to, const Message&)> onPayload;
   membership::Settings settings;
 
@@ -84,6 +84,10 @@
     nodes[i].held.clear();
     nodes[i].paused = false;
   }
+  void share(std::size_t i, std::size_t count) {
+    at(i).share(count);
+    after(i);
+  }
   void pause(std::size_t i) { nodes[i].paused = true; }
   void resume(std::size_t i) {
     nodes[i].paused = false;
@@ -159,7 +163,7 @@
   void after(std::size_t i) {
     Node& n = nodes[i];
     for (Membership::Send& s : std::exchange(n.machine->sends(), {})) {
-      if (payload) s.message.payload = payload(i, s.message, 300);
+      if (payload && !s.member.empty()) s.message.payload = payload(i, s.member, 700);
       transmit(i, s.to, membership::encode(s.message, kFleet));
     }
     for (const Change& c : std::exchange(n.machine->changes(), {}))
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,5 +1,8 @@
 // The fleet's membership by the failures that it exists for: kills, pauses, splits, deaf members, loss,
 // restarts.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -240,8 +243,15 @@
   ASSERT_TRUE(std::holds_alternative<Message>(read));
   EXPECT_EQ(std::get<Message>(read), m);
   EXPECT_EQ(std::get<membership::Reject>(membership::decode(data, 43)), membership::Reject::otherFleet);
-  std::string newer = data;
-  newer[1] = 2;  // the format stands first
+  // With a sum that fits: the format stands first.
+  const auto summed = [](std::string text) {
+    XXH64_canonical_t sum;
+    XXH64_canonicalFromHash(&sum, XXH3_64bits(text.data(), text.size()));
+    return text.append(reinterpret_cast<const char*>(sum.digest), sizeof sum.digest);
+  };
+  std::string newer = data.substr(0, data.size() - 8);
+  newer[1] = 2;
+  newer = summed(newer);
   EXPECT_EQ(std::get<membership::Reject>(membership::decode(newer, 42)), membership::Reject::otherFormat);
   std::mt19937_64 draws(5);
   std::size_t rejected = 0;
@@ -253,9 +263,14 @@
     rejected += !std::holds_alternative<Message>(membership::decode(spoilt, 42));
   }
   EXPECT_GT(rejected, 11000u);
+  for (std::size_t i = 0; i < data.size() * 8; ++i) {
+    std::string flipped = data;
+    flipped[i / 8] ^= static_cast<char>(1 << i % 8);
+    EXPECT_FALSE(std::holds_alternative<Message>(membership::decode(flipped, 42))) << "bit " << i;
+  }
   EXPECT_EQ(std::get<membership::Reject>(membership::decode(std::string(1401, '\x81'), 42)),
             membership::Reject::malformed);
-  EXPECT_EQ(std::get<membership::Reject>(membership::decode(std::string(1400, '\x81'), 42)),
+  EXPECT_EQ(std::get<membership::Reject>(membership::decode(summed(std::string(1392, '\x81')), 42)),
             membership::Reject::malformed);
 }
 
--- /dev/null
+++ b/tests/shared_test.cpp
@@ -0,0 +1,460 @@
+// What the fleet shares, by the failures it exists for: splits, lost and copied messages, restarts, liars,
+// floods. The bounds are proved by the laboratory's checker, which is itself shown to catch planted faults.
+#include <rapidcheck.h>
+
+#include <nlohmann/json.hpp>
+
+#include "fleet_sim.hpp"
+#include "lab/rig/fleet_check.hpp"
+#include "shared/state.hpp"
+
+namespace fennelridge::testing {
+namespace {
+
+using namespace shared;
+using lab::FleetCheck;
+
+constexpr shared::Time kEpoch = std::chrono::seconds(1'700'000'000);
+
+enum class Planted { nothing, retriesUnasked, rightsCountedTwice, unheardTakenForGone };
+
+// Members with their shared state in virtual time. Some meet failing hosts only and want to try again each
+// time.
+class SharedFleet {
+ public:
+  SharedFleet(std::size_t count, std::uint64_t seed, Planted planted = Planted::nothing)
+      : sim(count, seed), planted_(planted), draws_(seed) {
+    plan.members = count;
+    plan.retryShare = 0.1;
+    plan.retrySlots = 5;
+    plan.limits = {{"all", "", "", 100, false}};
+    plan.judgesHosts = true;
+    sim.settings.suspicionLeast = 2s, sim.settings.suspicionMost = 4s;
+    sim.payload = [this](std::size_t from, const std::string& to, std::size_t room) {
+      return states.at(from)->payloadFor(to, room);
+    };
+    sim.onPayload = [this](std::size_t to, const Message& m) {
+      states.at(to)->onPayload(unix(), m.from, m.payload);
+      if (planted_ == Planted::rightsCountedTwice) states.at(to)->onPayload(unix(), m.from + "'", m.payload);
+    };
+  }
+  shared::Time unix() const { return kEpoch + sim.now(); }
+  void start(std::size_t i) {
+    states.resize(sim.nodes.size());
+    states[i] = std::make_unique<FleetState>(plan, FleetSim::name(i), 1000 * i + ++lives_, unix());
+    states[i]->onHosts(hosts);
+    sim.start(i);
+    const std::uint64_t life = lives_;
+    lifeOf_[i] = life;
+    last_[i] = {};
+    sim.at(sim.now() + 1ms, [this, i, life] { tick(i, life); });
+  }
+  void startAll() {
+    for (std::size_t i = 0; i < sim.nodes.size(); ++i) start(i);
+  }
+  void kill(std::size_t i) {
+    sim.kill(i);
+    lifeOf_[i] = 0;
+  }
+  FleetCheck::Report report() {
+    lab::FleetPromise promise;
+    promise.retryShare = plan.retryShare;
+    promise.retryLapseS = plan.retrySlots;
+    promise.limits = {{"all", 100}};
+    promise.limitLapseS = plan.limitSlots;
+    FleetCheck check(promise);
+    for (const auto& [by, line] : lines) check.line(by, line);
+    return check.report();
+  }
+  void split(std::function<int(std::size_t)> part) {
+    sim.link = [part](std::size_t a, std::size_t b) {
+      FleetSim::Link l;
+      l.cut = part(a) != part(b);
+      return l;
+    };
+  }
+
+  FleetSim sim;
+  Plan plan;
+  std::vector<std::unique_ptr<FleetState>> states;
+  std::vector<std::string> hosts;
+  double perSecond = 20;    // requests at each member
+  std::size_t unlucky = 5;  // of the members, whose requests all want to be tried again
+  std::vector<std::pair<std::string, std::string>> lines;
+
+ private:
+  void tick(std::size_t i, std::uint64_t life) {
+    if (lifeOf_[i] != life) return;
+    sim.at(sim.now() + 100ms, [this, i, life] { tick(i, life); });
+    if (sim.nodes[i].paused) return;
+    FleetState& s = *states[i];
+    const Membership& m = sim.at(i);
+    FleetView view{m.alive(), m.known(), m.known() > 1, {FleetSim::name(i)}};
+    for (const auto& [name, other] : m.others())
+      if (m.isAlive(name)) view.living.insert(name);
+    if (planted_ == Planted::unheardTakenForGone) view.known = view.alive;
+    s.onTick(unix(), view);
+    if (s.eager()) sim.share(i, 2);
+    const auto coming = std::poisson_distribution<int>(perSecond / 10)(draws_);
+    for (int n = 0; n < coming; ++n) {
+      s.onRequest(unix(), "any", "");
+      const bool unasked = planted_ == Planted::retriesUnasked && i == 3;
+      if (i < unlucky && (s.retriesAllowed() > 0 || unasked)) s.onRetry(unix());
+    }
+    const FleetState::Counters& c = s.counters();
+    FleetState::Counters& l = last_[i];
+    l.admitted.resize(1);
+    lines.emplace_back(FleetSim::name(i),
+                       nlohmann::json{{"t", unix() / 1ms},
+                                      {"ev", "used"},
+                                      {"requests", c.requests - l.requests},
+                                      {"retries", c.retries - l.retries},
+                                      {"refused", c.refused - l.refused},
+                                      {"admitted", {{"all", c.admitted[0] - l.admitted[0]}}}}
+                           .dump());
+    l = c;
+  }
+
+  Planted planted_;
+  std::mt19937_64 draws_;
+  std::uint64_t lives_ = 0;
+  std::map<std::size_t, std::uint64_t> lifeOf_;
+  std::map<std::size_t, FleetState::Counters> last_;
+};
+
+// A split of 30 to 70, healed, of three parts, healed, one way, then a fifth lost, kills and a pause among
+// it.
+void playTroubles(SharedFleet& f) {
+  f.startAll();
+  f.sim.runFor(6s);
+  f.split([](std::size_t i) { return i % 10 < 3; });
+  f.sim.runFor(8s);
+  f.split([](std::size_t) { return 0; });
+  f.sim.runFor(4s);
+  f.split([](std::size_t i) { return static_cast<int>(i % 3); });
+  f.sim.runFor(8s);
+  f.sim.link = [](std::size_t a, std::size_t b) {
+    FleetSim::Link l;
+    l.cut = a == 4 && b == 9;
+    l.loss = 0.2;
+    l.jitter = 20ms;
+    return l;
+  };
+  f.kill(2);
+  f.sim.pause(7);
+  f.sim.runFor(3s);
+  f.sim.resume(7);
+  f.start(2);
+  f.sim.runFor(8s);
+}
+
+TEST(SharedState, BudgetAndLimitHoldInEveryWindowWhateverTheSplit) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    SharedFleet f(20, seed);
+    playTroubles(f);
+    const FleetCheck::Report r = f.report();
+    EXPECT_LE(r.retries.worstOver, 0) << "seed " << seed;
+    EXPECT_LE(r.limits.at("all").worstOver, 0) << "seed " << seed;
+    EXPECT_GT(r.limits.at("all").used, 37 * 70u) << "the limit is used, not only kept";
+    EXPECT_GT(r.retries.used, 200u);
+    std::uint64_t overdrawn = 0;
+    for (const auto& s : f.states) overdrawn += s->counters().retriesOverdrawn;
+    EXPECT_EQ(overdrawn, 0u);
+  }
+}
+
+TEST(SharedState, TheCheckerCatchesEachPlantedFault) {
+  for (const Planted planted :
+       {Planted::retriesUnasked, Planted::rightsCountedTwice, Planted::unheardTakenForGone}) {
+    SharedFleet f(20, 1, planted);
+    if (planted == Planted::unheardTakenForGone) f.plan.members = 1;  // else it keeps to a part of so many
+    else f.plan.limits = {{"all", "", "", 1e6, true}};
+    if (planted == Planted::retriesUnasked) f.unlucky = 8, f.perSecond = 60;
+    f.plan.retryShare = planted == Planted::retriesUnasked ? 0.01 : 0.1;
+    playTroubles(f);
+    const FleetCheck::Report r = f.report();
+    if (planted == Planted::unheardTakenForGone) EXPECT_GT(r.limits.at("all").worstOver, 50);
+    else EXPECT_GT(r.retries.worstOver, 50) << static_cast<int>(planted);
+  }
+}
+
+TEST(SharedState, RightsGoWhereTheyAreWanted) {
+  SharedFleet f(50, 3);
+  f.plan.limits = {{"all", "", "", 1e6, true}};
+  f.perSecond = 2;  // each member alone earns a right in five seconds, which is as long as they last
+  f.unlucky = 4;
+  f.startAll();
+  f.sim.runFor(30s);
+  // 100 requests a second earn 10; the unlucky ask for 8, and alone would have 0.8.
+  EXPECT_GT(f.report().retries.used, 30 * 4u);
+}
+
+TEST(SharedState, AnUnknownStateIsOpenOrClosedAsThePlanSays) {
+  for (const bool open : {false, true}) {
+    Plan plan;
+    plan.members = 10;
+    plan.limits = {{"seals", "seal", "", 10, open}, {"of-acme", "", "acme", 5, true}};
+    FleetState s(plan, "g1", 7, kEpoch);
+    s.onTick(kEpoch + 3s, {});
+    EXPECT_EQ(s.onRequest(kEpoch + 3s, "seal", ""), open);
+    EXPECT_TRUE(s.onRequest(kEpoch + 3s, "status", "acme"));
+    // Ten are known and seven unheard: its part is a tenth, a slot at a time, and none of the slot it came
+    // in.
+    int taken = 0;
+    for (int slot = 4; slot < 14; ++slot) {
+      const auto now = kEpoch + std::chrono::seconds(slot);
+      s.onTick(now, {3, 10, true, {"g1"}});
+      for (int i = 0; i < 10; ++i) taken += s.onRequest(now, "seal", "");
+    }
+    EXPECT_EQ(taken, 10);
+    EXPECT_TRUE(s.onRequest(kEpoch + 14s, "status", "other")) << "no limit is about it";
+  }
+}
+
+TEST(SharedState, APayloadOfAnotherPlanOrSpoiltMovesNothing) {
+  SharedFleet f(2, 4);
+  f.startAll();
+  f.sim.runFor(5s);
+  FleetState& s = *f.states[0];
+  const auto counters = [&s] { return s.counters().badPayloads + s.counters().otherPlan; };
+  const Amount before = s.retryRights().sums().received;
+  std::string good;
+  while (good.empty()) f.sim.runFor(100ms), good = f.states[1]->payloadFor("g0", 700);
+  std::mt19937_64 draws(4);
+  for (int i = 0; i < 5000; ++i) {
+    std::string spoilt = good;
+    if (i % 3 == 0) spoilt.resize(draws() % spoilt.size());
+    else spoilt[draws() % spoilt.size()] = static_cast<char>(draws());
+    s.onPayload(f.unix(), "g1", spoilt);
+  }
+  EXPECT_GT(counters(), 1000u);
+  // Rights of a slot that is yet to come would outlive their time; a total beyond all sense is none.
+  for (const nlohmann::json& grants :
+       {nlohmann::json{{0, 1'700'009'999, 1000}}, nlohmann::json{{0, 1'700'000'100, 2'000'000'000'000}},
+        nlohmann::json{{9, 1'700'000'100, 1000}}}) {
+    std::string text;
+    nlohmann::json::to_cbor({fingerprint(f.plan), 5, nlohmann::json::array(), 1, grants,
+                             nlohmann::json::array(), nlohmann::json::array()},
+                            text);
+    EXPECT_FALSE(s.onPayload(f.unix(), "g1", text)) << grants;
+  }
+  EXPECT_EQ(s.retryRights().sums().received, before);
+}
+
+// --- Laws -------------------------------------------------------------------------------------------------
+
+Counts drawCounts() {
+  Counts c(2);
+  for (const auto& [life, row] :
+       *rc::gen::container<std::vector<std::pair<int, std::pair<unsigned, unsigned>>>>(rc::gen::pair(
+           rc::gen::inRange(0, 6), rc::gen::pair(rc::gen::inRange(0U, 50U), rc::gen::inRange(0U, 50U)))))
+    c.merge({"g" + std::to_string(life % 3), static_cast<std::uint64_t>(life / 3)}, {row.first, row.second});
+  return c;
+}
+
+JudgementMap drawJudgements() {
+  JudgementMap m;
+  for (const auto& [key, life, sequence, verdict] :
+       *rc::gen::container<std::vector<std::tuple<int, int, int, int>>>(rc::gen::tuple(
+           rc::gen::inRange(0, 8), rc::gen::inRange(0, 3), rc::gen::inRange(0, 4), rc::gen::inRange(0, 3))))
+    m[{"g" + std::to_string(key % 4), "h" + std::to_string(key / 4)}] = {static_cast<std::uint64_t>(life),
+                                                                         static_cast<std::uint32_t>(sequence),
+                                                                         5, static_cast<Verdict>(verdict)};
+  return m;
+}
+
+TEST(SharedLaws, CountsJoinInAnyOrderAndAnyNumberOfTimes) {
+  const auto joined = [](Counts a, const Counts& b) {
+    a.merge(b);
+    return a;
+  };
+  EXPECT_TRUE(rc::check([&] {
+    const Counts a = drawCounts(), b = drawCounts(), c = drawCounts();
+    RC_ASSERT(joined(a, b) == joined(b, a));
+    RC_ASSERT(joined(joined(a, b), c) == joined(a, joined(b, c)));
+    RC_ASSERT(joined(a, a) == a);
+    RC_ASSERT(joined(a, b).total(0) >= std::max(a.total(0), b.total(0)));
+  }));
+}
+
+TEST(SharedLaws, JudgementsJoinInAnyOrderAndAnyNumberOfTimes) {
+  const auto joined = [](JudgementMap a, const JudgementMap& b) {
+    join(a, b);
+    return a;
+  };
+  EXPECT_TRUE(rc::check([&] {
+    const JudgementMap a = drawJudgements(), b = drawJudgements(), c = drawJudgements();
+    RC_ASSERT(joined(a, b) == joined(b, a));
+    RC_ASSERT(joined(joined(a, b), c) == joined(a, joined(b, c)));
+    RC_ASSERT(joined(a, a) == a);
+  }));
+}
+
+// Four lives that mint, spend, give and pass time in any order; words arrive late, twice, in any order, or
+// never.
+TEST(SharedLaws, NoRightIsSpentTwiceOrAfterItsTime) {
+  EXPECT_TRUE(rc::check([] {
+    constexpr unsigned kLife = 3;
+    std::vector<Escrow> escrows(4, Escrow(kLife));
+    const auto life = [](std::size_t i) { return Life{"g" + std::to_string(i), 1}; };
+    struct Word {
+      std::size_t from, to;
+      std::vector<Grant> grants;
+    };
+    std::vector<Word> words;
+    Slot now = 10;
+    std::map<Slot, Amount> minted;
+    for (const auto& [what, a, b] : *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+             rc::gen::tuple(rc::gen::inRange(0, 6), rc::gen::inRange(0, 4), rc::gen::inRange(0, 4)))) {
+      for (Escrow& e : escrows) e.advance(now);
+      Escrow& e = escrows[static_cast<std::size_t>(a)];
+      const auto from = static_cast<std::size_t>(a), to = static_cast<std::size_t>(b);
+      if (what == 0) e.mint(700), minted[now] += 700;
+      if (what == 1) e.spend();
+      if (what == 2 && a != b) {
+        e.give(life(to), 900);
+        words.push_back({from, to, e.givenTo(life(to))});
+      }
+      if (what == 3 && !words.empty()) {
+        const Word& w = words[static_cast<std::size_t>(a * 4 + b) % words.size()];
+        RC_ASSERT(escrows[w.to].receive(life(w.from), w.grants));
+      }
+      if (what == 4) ++now;
+      Amount spent = 0, held = 0, all = 0, fresh = 0;
+      for (const Escrow& one : escrows) spent += one.sums().spent, held += one.held();
+      for (const auto& [slot, amount] : minted) {
+        all += amount;
+        if (slot + static_cast<Slot>(kLife) > now) fresh += amount;
+      }
+      RC_ASSERT(spent + held <= all);
+      for (Escrow& one : escrows) one.advance(now);
+      held = 0;
+      for (const Escrow& one : escrows) held += one.held();
+      RC_ASSERT(held <= fresh);
+    }
+  }));
+}
+
+// --- Judgements -------------------------------------------------------------------------------------------
+
+struct Panel {  // one gateway's view of ten hosts and twelve gateways
+  Panel() {
+    std::vector<std::string> hosts;
+    for (int i = 0; i < 10; ++i) hosts.push_back("h" + std::to_string(i));
+    j.onHosts(hosts);
+    view = {12, 12, true, {}};
+    for (int i = 0; i < 12; ++i) view.living.insert("g" + std::to_string(i));
+  }
+  bool hear(const std::string& sender, const std::string& observer, const std::string& host,
+            Verdict verdict = Verdict::bad, std::uint32_t sequence = 1) {
+    return j.onHeard(now, sender, {observer, host}, {1, sequence, now / 1ms, verdict, 0, 5});
+  }
+  const std::set<std::string>& out() {
+    j.onTick(now, view);
+    return j.out();
+  }
+  shared::Time now = kEpoch;
+  Judgements j{{}, {"g0", 1}};
+  FleetView view;
+};
+
+using Names = std::set<std::string>;
+
+TEST(Judgements, AHostIsOutByAQuorumAndBackOnceItsJudgementsAge) {
+  Panel p;
+  p.hear("g1", "g1", "h3");
+  p.hear("g2", "g2", "h3");
+  EXPECT_EQ(p.out(), Names{});
+  p.hear("g3", "g3", "h3");
+  EXPECT_EQ(p.out(), Names{"h3"});
+  for (const char* by : {"g4", "g5", "g6"}) p.hear(by, by, "h3", Verdict::well);
+  EXPECT_EQ(p.out(), Names{}) << "as many find it well";
+  p.hear("g7", "g7", "h3");
+  EXPECT_EQ(p.out(), Names{"h3"});
+  p.now += 31s;
+  EXPECT_EQ(p.out(), Names{});
+  EXPECT_TRUE(p.j.accepted().empty());
+}
+
+TEST(Judgements, OneLiarMovesNothingHoweverMuchItSends) {
+  Panel p;
+  for (std::uint32_t i = 0; i < 30000; ++i)  // in the name of all others, ever anew
+    p.hear("g9", "g" + std::to_string(1 + i % 8), "h" + std::to_string(i % 10), Verdict::bad, i);
+  EXPECT_EQ(p.out(), Names{});
+  for (int i = 0; i < 10; ++i) p.hear("g9", "g9", "h" + std::to_string(i));
+  EXPECT_EQ(p.out(), Names{});
+  for (int i = 0; i < 400; ++i) p.hear("g9", "ghost" + std::to_string(i), "h1");
+  EXPECT_GT(p.j.dropped(), 0u);
+  // Honest words come through all the same, first-hand and by two relays; one relay and the liar are not two.
+  p.hear("g1", "g1", "h2", Verdict::bad, 1u << 31);
+  p.hear("g2", "g2", "h2", Verdict::bad, 1u << 31);
+  p.hear("g4", "g3", "h2", Verdict::bad, 1u << 31);
+  EXPECT_EQ(p.out(), Names{});
+  p.hear("g5", "g3", "h2", Verdict::bad, 1u << 31);
+  EXPECT_EQ(p.out(), Names{"h2"});
+}
+
+TEST(Judgements, TheCapHoldsAndEachPartOfASplitHasItsShareOfIt) {
+  Panel p;
+  const auto three = [&](std::vector<const char*> hosts) {
+    for (const char* h : hosts)
+      for (const char* by : {"g1", "g2", "g3"}) p.hear(by, by, h);
+  };
+  three({"h0", "h1"});
+  EXPECT_EQ(p.out().size(), 2u);
+  for (const char* h : {"h2", "h5", "h7"})
+    for (const char* by : {"g4", "g5", "g6"}) p.hear(by, by, h);
+  EXPECT_EQ(p.out(), (Names{"h0", "h1"})) << "who finds three of ten bad is in doubt itself";
+  Panel q;
+  for (const auto& [h, by] : std::vector<std::pair<const char*, const char*>>{{"h0", "g1"},
+                                                                              {"h0", "g2"},
+                                                                              {"h0", "g3"},
+                                                                              {"h1", "g3"},
+                                                                              {"h1", "g4"},
+                                                                              {"h1", "g5"},
+                                                                              {"h2", "g5"},
+                                                                              {"h2", "g6"},
+                                                                              {"h2", "g7"}})
+    q.hear(by, by, h);
+  EXPECT_EQ(q.out().size(), 2u) << "a fifth of ten";
+  q.view.alive = 7;
+  EXPECT_EQ(q.out().size(), 1u);
+  q.view.alive = 6;
+  EXPECT_EQ(q.out().size(), 1u);
+  q.view.alive = 4;
+  EXPECT_EQ(q.out(), Names{});
+}
+
+TEST(Judgements, AGatewayThatIsCutOffFromItsHostsKeepsSilent) {
+  Panel p;
+  for (int i = 0; i < 2; ++i)
+    for (int n = 0; n < 4; ++n) p.j.onOutcome(p.now, "h" + std::to_string(i), false);
+  p.out();
+  EXPECT_EQ(p.j.accepted().size(), 2u);
+  EXPECT_TRUE(p.j.anythingToTell(1));
+  Panel q;
+  for (int i = 0; i < 6; ++i)
+    for (int n = 0; n < 4; ++n) q.j.onOutcome(q.now, "h" + std::to_string(i), false);
+  q.out();
+  EXPECT_TRUE(q.j.accepted().empty());
+}
+
+TEST(Judgements, AFleetOfFiftyTakesABadHostOutWithinSeconds) {
+  SharedFleet f(50, 9);
+  f.plan.limits.clear();
+  f.plan.limits = {{"all", "", "", 1e6, true}};
+  for (int i = 0; i < 20; ++i) f.hosts.push_back("h" + std::to_string(i));
+  f.startAll();
+  f.sim.runFor(10s);
+  for (std::size_t i = 0; i < 6; ++i)
+    for (int n = 0; n < 4; ++n) f.states[i * 8]->onOutcome(f.unix(), "h4", false);
+  EXPECT_TRUE(f.sim.runUntilDone(6s, [&] {
+    return std::all_of(f.states.begin(), f.states.end(),
+                       [](const auto& s) { return s->hostsOut() == Names{"h4"}; });
+  }));
+  f.sim.runFor(35s);
+  for (const auto& s : f.states) EXPECT_EQ(s->hostsOut(), Names{});
+}
+
+}  // namespace
+}  // namespace fennelridge::testing
