The store's log on disk: segments with sums, torn ends cut, spoilt middles refused

Shown by store_test: 600 random steps with reopenings against a model, a cut at every byte of a segment, a flip of every byte (refused in the middle, cut at the end), a disk that fills (RLIMIT_FSIZE), a flip of every byte of the vote.

--- a/tests/fuzz_datagram.cpp
+++ b/tests/fuzz_datagram.cpp
@@ -18,9 +18,9 @@
 
 // A member that has met g1 and g2. What one input does to it is gone with the next.
 struct Listener {
+  std::chrono::nanoseconds now = std::chrono::seconds(1'700'000'000);
   membership::Membership members;
   shared::FleetState state;
-  std::chrono::nanoseconds now = std::chrono::seconds(1'700'000'000);
 
   static membership::Settings settings() {
     membership::Settings s;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -2,7 +2,13 @@
 // full.
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
+#include <sys/resource.h>
 
+#include <csignal>
+#include <fstream>
+#include <random>
+
+#include "store/disk_log.hpp"
 #include "store/machine.hpp"
 
 namespace fennelridge::store {
@@ -143,5 +149,188 @@
   }));
 }
 
+// --- Disk -------------------------------------------------------------------------------------------------
+
+namespace fs = std::filesystem;
+
+class StoreDisk : public ::testing::Test {
+ protected:
+  StoreDisk() : folder(fs::temp_directory_path() / ("fennelridge-store-" + std::to_string(::getpid()))) {
+    fs::remove_all(folder);
+    set.cluster = 7;
+    set.segmentBytes = 200;
+  }
+  ~StoreDisk() override { fs::remove_all(folder); }
+  static LogEntry entry(std::uint64_t term, const std::string& data) { return {term, 1, data}; }
+  static std::vector<LogEntry> all(const DiskLog& log) {
+    std::vector<LogEntry> out;
+    for (std::uint64_t i = log.first(); i < log.next(); ++i) out.push_back(log.at(i));
+    return out;
+  }
+  std::vector<LogEntry> reopened() {
+    DiskLog log(folder, set);
+    return all(log);
+  }
+  fs::path lastSegment() const {
+    std::pair<std::uint64_t, fs::path> last;
+    for (const auto& e : fs::directory_iterator(folder))
+      if (const std::string name = e.path().filename(); name.rfind("log-", 0) == 0)
+        last = std::max(last, {std::stoull(name.substr(4)), e.path()});
+    return last.second;
+  }
+  static std::string bytesOf(const fs::path& file) {
+    std::ifstream in(file, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  static void write(const fs::path& file, const std::string& bytes) {
+    std::ofstream(file, std::ios::binary | std::ios::trunc) << bytes;
+  }
+
+  fs::path folder;
+  DiskLog::Settings set;
+};
+
+TEST_F(StoreDisk, WhatWasWrittenIsThereAgainWhateverWasDoneAndWhenever) {
+  std::mt19937_64 draws(1);
+  std::vector<LogEntry> model;
+  std::uint64_t first = 1;
+  DiskLog::Vote vote;
+  DiskLog::Snapshot snapshot;
+  auto log = std::make_unique<DiskLog>(folder, set);
+  for (int step = 0; step < 600; ++step) {
+    const std::uint64_t next = first + model.size(), what = draws() % 10;
+    if (what < 5) {
+      std::vector<LogEntry> more;
+      for (std::uint64_t n = 1 + draws() % 3; n > 0; --n)
+        more.push_back(entry(1 + static_cast<std::uint64_t>(step) / 50, std::string(draws() % 60, 'x')));
+      log->append(more);
+      model.insert(model.end(), more.begin(), more.end());
+    } else if (what == 5 && !model.empty()) {
+      const std::uint64_t from =
+          std::max(snapshot.index + 1, next - draws() % std::min<std::uint64_t>(9, next));
+      log->truncate(from);
+      if (from < next) model.resize(from - first);
+    } else if (what == 6) {
+      log->setVote(vote = {vote.term + 1, draws() % 4});
+    } else if (what == 7 && next > snapshot.index + 4) {
+      const std::uint64_t index = next - 2;
+      log->keep(snapshot = {index, log->at(index).term, "state " + std::to_string(index)}, 3);
+    } else if (what == 8 && step % 5 == 0) {
+      log->install(snapshot = {next + 5, 99, "sent"});
+      model.clear();
+    } else {
+      log.reset();
+      log = std::make_unique<DiskLog>(folder, set);
+    }
+    // Whole segments go at a time, never an entry behind the snapshot.
+    ASSERT_LE(log->first(), snapshot.index + 1) << step;
+    if (log->first() > first) {
+      const std::uint64_t gone = std::min<std::uint64_t>(log->first() - first, model.size());
+      model.erase(model.begin(), model.begin() + static_cast<std::ptrdiff_t>(gone));
+    }
+    first = log->first();
+    ASSERT_EQ(all(*log), model) << step;
+    ASSERT_EQ(log->vote(), vote);
+    ASSERT_EQ(log->snapshot(), snapshot);
+  }
+}
+
+TEST_F(StoreDisk, ATornEndIsCutAtEachByteAndTheMemberGoesOn) {
+  set.segmentBytes = 1 << 20;
+  std::vector<LogEntry> entries;
+  for (int i = 0; i < 5; ++i) entries.push_back(entry(2, std::string(10, static_cast<char>('a' + i))));
+  DiskLog(folder, set).append(entries);
+  const fs::path file = lastSegment();
+  const std::string whole = bytesOf(file);
+  for (std::size_t size = 32; size <= whole.size(); ++size) {
+    write(file, whole.substr(0, size));
+    const std::size_t left = (size - 32) / 39;  // whole records of 29 + 10 bytes
+    DiskLog log(folder, set);
+    ASSERT_EQ(all(log),
+              std::vector<LogEntry>(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(left)));
+    EXPECT_EQ(log.cutBytes(), (size - 32) % 39);
+    log.append({entry(3, "after")});
+    EXPECT_EQ(reopened().size(), left + 1);
+  }
+}
+
+TEST_F(StoreDisk, ASpoiltByteInTheMiddleIsRefusedLoudlyAndAtTheEndCut) {
+  set.segmentBytes = 1 << 20;
+  std::vector<LogEntry> entries;
+  for (int i = 0; i < 4; ++i) entries.push_back(entry(2, "0123456789"));
+  DiskLog(folder, set).append(entries);
+  const fs::path file = lastSegment();
+  const std::string whole = bytesOf(file);
+  const std::size_t lastRecord = whole.size() - 39;
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    std::string spoilt = whole;
+    spoilt[at] ^= 0x10;
+    write(file, spoilt);
+    if (at < lastRecord) EXPECT_THROW(DiskLog(folder, set), DiskError) << at;
+    else EXPECT_EQ(reopened().size(), 3u) << at;
+  }
+  write(file, whole);
+  try {
+    std::string spoilt = whole;
+    spoilt[32 + 39 + 30] ^= 1;
+    write(file, spoilt);
+    DiskLog log(folder, set);
+    FAIL();
+  } catch (const CorruptLog& bad) {
+    EXPECT_NE(std::string(bad.what()).find("entry 2 doesn't fit its sum at byte 71"), std::string::npos)
+        << bad.what();
+  }
+  // So is a segment that is missing between others.
+  write(file, whole);
+  set.segmentBytes = 1;
+  {
+    DiskLog log(folder, set);
+    for (int i = 0; i < 3; ++i) log.append({entry(2, "x")});
+  }
+  fs::remove(folder / "log-5");
+  EXPECT_THROW(DiskLog(folder, set), CorruptLog);
+}
+
+TEST_F(StoreDisk, AFullDiskLosesNothingThatWasThereAndTakesNothingInPart) {
+  set.segmentBytes = 1 << 20;
+  DiskLog log(folder, set);
+  log.append({entry(1, std::string(3000, 'a'))});
+  log.setVote({4, 2});
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit old{};
+  ::getrlimit(RLIMIT_FSIZE, &old);
+  rlimit low = old;
+  low.rlim_cur = 4096;
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &low), 0);
+  EXPECT_THROW(log.append({entry(1, "fits"), entry(1, std::string(3000, 'b'))}), DiskError);
+  EXPECT_THROW(log.keep({1, 1, std::string(9000, 's')}), DiskError);
+  EXPECT_EQ(log.next(), 2u);
+  EXPECT_EQ(reopened().size(), 1u);
+  ::setrlimit(RLIMIT_FSIZE, &old);
+  log.append({entry(1, "now")});
+  EXPECT_EQ(reopened().size(), 2u);
+  EXPECT_EQ(DiskLog(folder, set).vote(), (DiskLog::Vote{4, 2}));
+  EXPECT_EQ(DiskLog(folder, set).snapshot().index, 0u);
+}
+
+TEST_F(StoreDisk, AVoteIsNotForgottenAndAnotherClustersFilesAreRefused) {
+  {
+    DiskLog log(folder, set);
+    log.setVote({5, 1});
+    log.setVote({6, 3});
+  }
+  EXPECT_EQ(DiskLog(folder, set).vote(), (DiskLog::Vote{6, 3}));
+  const std::string whole = bytesOf(folder / "meta");
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    std::string spoilt = whole;
+    spoilt[at] ^= 1;
+    write(folder / "meta", spoilt);
+    EXPECT_THROW(DiskLog(folder, set), DiskError) << at;
+  }
+  write(folder / "meta", whole);
+  set.cluster = 8;
+  EXPECT_THROW(DiskLog(folder, set), DiskError);
+}
+
 }  // namespace
 }  // namespace fennelridge::store
