--- a/src/store/disk_log.cpp
+++ b/src/store/disk_log.cpp
@@ -241,10 +241,8 @@
 
 void DiskLog::setVote(const Vote& vote) {
   std::string body;
-  for (const std::uint64_t v : {kMagic, set_.cluster, metaVersion_ + 1, vote.term, vote.votedFor})
-    put(body, v, 8);
-  writeWhole(folder_ / ("meta-" + std::to_string((metaVersion_ + 1) % 2)), withSum(body));
-  ++metaVersion_;
+  for (const std::uint64_t v : {kMagic, set_.cluster, vote.term, vote.votedFor}) put(body, v, 8);
+  writeWhole(folder_ / "meta", withSum(std::move(body)));
   vote_ = vote;
 }
 
