A stopped member holds nobody for dead by the time that it missed

A member that goes on after a pause finds its suspicions over before it has read what came meanwhile, so it held for dead whom it had suspected before its own pause. Change: a gap of over 2.5 s between two runs (timers come once in 1.8 s at least) moves the begin of all suspicions by itself, drops probes under way and counts as unwell.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -18,6 +18,7 @@
 constexpr double kNackPart = 0.8;           // of the time-out: a relay that has heard nothing says so
 constexpr std::size_t kClaimOverhead = 24;  // bytes on the wire beside the names, about
 constexpr std::size_t kStateBytes = 1000;   // of claims in one part of the whole state
+constexpr Duration kStopped = std::chrono::milliseconds(2500);  // timers come once in 1.8 s at least
 constexpr unsigned kLastCalls = 3;
 constexpr Duration kLastCallEach = std::chrono::milliseconds(700);
 constexpr std::size_t kLeaveTold = 8;  // members that are told at once
@@ -253,7 +254,7 @@
     bytes = 0;
   };
   for (const auto& [name, member] : members_) {
-    if (!lives(member.state) && lastTimer_ - member.since > set_.forgetAfter / 2) continue;
+    if (!lives(member.state) && lastRun_ - member.since > set_.forgetAfter / 2) continue;
     const Claim claim = claimOf(member);
     if (bytes + sizeOf(claim) > kStateBytes) out();
     bytes += sizeOf(claim);
@@ -264,7 +265,7 @@
 
 void Membership::onMessage(Time now, Address from, const Message& m) {
   if (left_ || superseded_) return;
-  lastTimer_ = std::max(lastTimer_, now);
+  wake(now);
   heed(now, {m.from, from, State::alive, m.version, {}});
   for (const Claim& c : m.claims) heed(now, c);
   if (superseded_ || m.from == set_.name) return;
@@ -324,9 +325,23 @@
   arm();
 }
 
+// Danger: a process that was stopped finds, once it goes on, that all it waited for is late, before it reads
+// what has come meanwhile: it would hold others for dead by a time in which it heard nobody. That time does
+// not count.
+void Membership::wake(Time now) {
+  const Duration gap = now - lastRun_;
+  if (lastRun_ != Time{} && gap > kStopped) {
+    for (auto& [name, suspicion] : suspicions_) suspicion.began += gap;
+    probes_.clear();
+    relays_.clear();
+    unwell(1);
+  }
+  lastRun_ = std::max(lastRun_, now);
+}
+
 void Membership::onTimer(Time now) {
   if (left_ || superseded_) return;
-  lastTimer_ = now;
+  wake(now);
   for (Probe& p : probes_) {
     if (p.acked || p.indirectSent || now < p.timeoutAt) continue;
     p.indirectSent = true;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -164,6 +164,7 @@
     unsigned sent = 0;
   };
 
+  void wake(Time now);
   void heed(Time now, const Claim& claim);
   void heedOwn(Time now, const Claim& claim);
   void set(Time now, const Claim& claim);
@@ -199,7 +200,7 @@
   std::map<std::string, Rumour> rumours_;
   std::uint32_t sequence_ = 0;
   unsigned health_ = 0;
-  Time nextProbe_, nextJoin_, nextSync_, nextDead_, nextForget_, next_, lastTimer_{};
+  Time nextProbe_, nextJoin_, nextSync_, nextDead_, nextForget_, next_, lastRun_{};
   bool left_ = false, superseded_ = false, joining_ = false;
   Counts counts_;
   std::vector<Send> sends_;
--- a/tests/fleet_sim.hpp
+++ b/tests/fleet_sim.hpp
@@ -93,8 +93,10 @@
     after(i);
   }
   void pause(std::size_t i) { nodes[i].paused = true; }
-  void resume(std::size_t i) {
+  // A process that goes on may find its timer due before it reads what has come.
+  void resume(std::size_t i, bool timerFirst = false) {
     nodes[i].paused = false;
+    if (timerFirst) step(i);
     const auto held = std::move(nodes[i].held);
     nodes[i].held.clear();
     for (const auto& [from, data] : held) receive(i, from, data);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -88,6 +88,28 @@
   EXPECT_EQ(doubted, 100u) << "it must be suspected, or work would still go by it";
 }
 
+// One suspects another that is stopped, is stopped itself, and goes on when the suspicion would be over.
+TEST(Membership, AStoppedMemberHoldsNobodyForDeadByTheTimeThatItMissed) {
+  std::size_t suspected = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    FleetSim sim(20, seed);
+    sim.startAll();
+    ASSERT_TRUE(sim.runUntilDone(10s, [&] { return sim.allAgree(); })) << "seed " << seed;
+    Watch watch(sim);
+    for (std::size_t i : {3, 4, 5}) sim.pause(i);
+    sim.runFor(2500ms);
+    for (std::size_t i : {6, 7, 8}) sim.pause(i), suspected += watch.doubted.count({FleetSim::name(i), "g4"});
+    sim.runFor(2500ms);
+    for (std::size_t i : {3, 4, 5}) sim.resume(i, true);
+    sim.runFor(2500ms);
+    for (std::size_t i : {6, 7, 8}) sim.resume(i, true);
+    sim.runFor(20s);
+    EXPECT_TRUE(watch.dead.empty()) << "seed " << seed;
+    EXPECT_TRUE(sim.allAgree()) << "seed " << seed;
+  }
+  EXPECT_GT(suspected, 20u);
+}
+
 void splitAndHeal(FleetSim& sim, const std::function<int(std::size_t)>& part, std::uint64_t seed) {
   sim.link = [part](std::size_t a, std::size_t b) {
     FleetSim::Link l;
