A repeat whose connection comes up past its window never begins

Checked: the module looks at the window only when it chooses a host; the dial that follows was bounded by the connect timeout alone, and its first byte went out whenever it came up. Ruled out: the group (the zone of the first host is compared at each pick). Change: a send carries beginWithin, the end of the window; the dial, and the last byte of a body on its way, end there as never having run.

--- a/include/ochrehill/ochrehill.hpp
+++ b/include/ochrehill/ochrehill.hpp
@@ -137,6 +137,9 @@
   HostId host = kNone;
   Duration span{};   // send: time limit; refuse: retry-after (0 = none); wake: the clock time
   std::string text;  // log
+  // send: the host must get its first byte within this, or the attempt may not begin and has not run: its
+  // repeat window closes then. max(): no such bound.
+  Duration beginWithin = Duration::max();
 };
 
 class Balancer {
--- a/src/context.hpp
+++ b/src/context.hpp
@@ -30,10 +30,10 @@
   }
   void emit(ActionKind kind, RequestId id = 0, std::uint32_t attempt = 0, HostId host = kNone,
             Duration span = {}) {
-    out.push_back({kind, id, attempt, host, span, {}});
+    out.push_back({kind, id, attempt, host, span, {}, Duration::max()});
   }
   void log(std::string text) {
-    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text)});
+    out.push_back({ActionKind::log, 0, 0, kNone, {}, std::move(text), Duration::max()});
     logged_ = now;
   }
   bool mayLog() const { return now - logged_ >= std::chrono::seconds(1) || logged_ == Time{}; }
--- a/src/decide/attempts.cpp
+++ b/src/decide/attempts.cpp
@@ -69,6 +69,7 @@
   if (cutoff_.cut() > 1 && hopeless(r, 0)) return false;
   const HostId id = pick_.host(r);
   if (id == kNone) return false;
+  const Time begin = pick_.beginBy(r);
   Host& h = fleet_.at(id);
   cold_.sent(h);
   Try& t = r.tries[r.count];
@@ -78,6 +79,7 @@
   ++h.named;
   ++r.out;
   c_.emit(ActionKind::send, r.id, r.count++, id, last - c_.now);
+  if (begin < Time::max()) c_.out.back().beginWithin = begin - c_.now;  // a dial may take long
   return true;
 }
 
@@ -101,10 +103,7 @@
   const bool unsure =
       a.outcome == Outcome::timeout || a.outcome == Outcome::reset || a.outcome == Outcome::cancelled;
   if (unsure && inTurn(r)) turns_.rest(r.key, c_.now + c_.set.keyRest);
-  if (a.terminal && !r.ended) {
-    r.ended = true;
-    cancelOut(r);
-  }
+  if (a.terminal && !r.ended) return end(r);
   if (r.ended) return release(r);
   if (r.bound || r.out > 0) return;
   if (a.outcome == Outcome::rejected) {
@@ -133,8 +132,7 @@
   cancelOut(*r, attempt);
 }
 
-void Attempts::finish(
-    Open& r) {  // a refusal claims that a retry is harmless, so it needs proof; else an error
+void Attempts::finish(Open& r) {  // a refusal claims that a retry is harmless: it needs proof
   const ClassSettings& c = c_.classes[r.cls].set;
   bool mayHaveRun = false;
   for (std::uint32_t i = 0; i < r.count; ++i) mayHaveRun |= r.tries[i].mayHaveRun;
--- a/src/decide/cold_start.cpp
+++ b/src/decide/cold_start.cpp
@@ -42,8 +42,7 @@
   const bool proven = kind.proven > 0;
   const double part = proven ? kProvenPart * (2 + cutoff_.evidence()) / 3 : kLearnedPart;
   const double borne = (proven ? kind.proven : kind.capacity) * fleet_.warmth(h) * c_.set.fallMultiple;
-  // Danger: beside a limit of few requests a window, chance alone fells a host: their sum scatters by its
-  // root.
+  // Danger: beside a limit of few requests a window, chance alone fells a host: sums scatter by the root.
   const double bank = window * c_.set.groupSize;
   const double root = (std::sqrt(kChance * kChance + 4 * borne * bank) - kChance) / 2;
   return std::min(part * borne, root * root / bank);
--- a/src/decide/fleet.cpp
+++ b/src/decide/fleet.cpp
@@ -11,9 +11,8 @@
 constexpr double kWidthParts = 4;
 constexpr std::uint32_t kRings = 2;  // more mix the gateways' hosts better, and cover the pool less evenly
 constexpr std::uint64_t kGolden = 0x9e3779b97f4a7c15ULL;  // of the ratio, the part after the point
-constexpr double kLeastRate =
-    0.5;                          // requests a second for each host that a busy gateway takes in beyond these
-constexpr double kCrowded = 1.5;  // times the median held: too much
+constexpr double kLeastRate = 0.5;    // requests a second for each host that a busy gateway takes in beyond
+constexpr double kCrowded = 1.5;      // times the median held: too much
 constexpr double kShareGain = 0.5;    // power of the excess taken off a host's share at each report
 constexpr double kShareBack = 1.1;    // and its way back
 constexpr double kShareLeast = 0.05;  // a trickle, or it would never be known better
--- a/src/decide/pick.cpp
+++ b/src/decide/pick.cpp
@@ -31,9 +31,15 @@
     const HostEntry& first = fleet_.at(r.tries[i].host).entry;
     if (c.group != Group::all && first.zone != h.entry.zone) return false;
     if (c.group == Group::cell && first.cell != h.entry.cell) return false;
-    if (c_.now + 2 * c_.set.step > r.tries[i].at + c.window) return false;
   }
-  return true;
+  return c_.now <= beginBy(r);
+}
+
+Time Pick::beginBy(const Open& r) const {
+  const ClassSettings& c = c_.classes[r.cls].set;
+  for (std::uint32_t i = 0; i < r.count && c.effect == Effect::dedup; ++i)
+    if (r.tries[i].mayHaveRun) return r.tries[i].at + c.window - 2 * c_.set.step;
+  return Time::max();
 }
 
 void Pick::consider(const Open& r, HostId id, bool relaxed) {
--- a/src/decide/pick.hpp
+++ b/src/decide/pick.hpp
@@ -21,7 +21,8 @@
  public:
   explicit Pick(const Known& known) : Known(known) {}
 
-  HostId host(const Open& r);  // kNone: there is none that the rules allow
+  HostId host(const Open& r);         // kNone: there is none that the rules allow
+  Time beginBy(const Open& r) const;  // repeats are dropped until then; Time::max(): nothing to repeat
 
  private:
   bool idle(const Host& h) const {  // holds few of ours; a fast host may hold more
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -412,7 +412,8 @@
   } else if (message.method() == http::verb::post || !message.body().empty()) {
     message.prepare_payload();
   }
-  hosts_.start({action.request, action.attempt}, action.host, std::move(message), action.span, exchange.body);
+  hosts_.start({action.request, action.attempt}, action.host, std::move(message),
+               {action.span, action.beginWithin}, exchange.body);
 }
 
 void Gateway::giveUp(const Action& action) {
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -54,9 +54,10 @@
   AttemptKey key;
   Phase phase = Phase::connecting;
   Clock::time_point sentAt, idleSince, deadline;
-  Duration allowed{};        // once the body is whole
-  std::uint64_t turn = 0;    // of the timer: one that is already due when it is moved is told by it
-  std::uint64_t answer = 0;  // the same for the other timer
+  Clock::time_point beginBy;  // a later first byte, or last one of the body, would run it where it may not
+  Duration allowed{};         // once the body is whole
+  std::uint64_t turn = 0;     // of the timer: one that is already due when it is moved is told by it
+  std::uint64_t answer = 0;   // the same for the other timer
   std::uint64_t waitsFor = 0, size = 0;
   HttpResponse response;  // its head
   HeadScanner scanner{HeadScanner::Kind::answer};
@@ -101,7 +102,7 @@
   void connect(const tcp::endpoint& endpoint) {
     // Until the connection is up nothing has been written, so the end of the attempt's own time proves here
     // that it never ran, as the end of the time for connecting does.
-    limit(std::min(deadline, sentAt + pool->limits_.connectTimeout), Outcome::connectFailed);
+    limit(std::min({deadline, sentAt + pool->limits_.connectTimeout, beginBy}), Outcome::connectFailed);
     error_code ec;
     socket.open(endpoint.protocol(), ec);  // fails when no descriptor is left
     if (ec) return end(Outcome::connectFailed);
@@ -119,12 +120,13 @@
     interim = 0;
     renew();
     if (up) return upload();
-    limit(deadline, Outcome::timeout);
+    limit(std::min(deadline, beginBy), Outcome::timeout);
     http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->phase != Phase::writing) return;
       // An error here means that the last byte was not written: it never ran.
       if (ec) return self->end(Outcome::connectFailed);
       self->phase = Phase::reading;
+      if (self->beginBy < self->deadline) self->limit(self->deadline, Outcome::timeout);
       self->receive();
     });
   }
@@ -137,8 +139,6 @@
     up->onData = [weak] {
       if (const auto self = weak.lock(); self && self->up) self->pump();
     };
-    turn += 1;
-    timer.cancel();
     receive();  // a host may turn it away before it has all
     put(headText(request), false);
   }
@@ -154,15 +154,14 @@
     if (last && request.chunked()) piece += "0\r\n\r\n";
     if (!piece.empty()) return put(std::move(piece), last);
     if (last) return sent();
-    ++turn;  // the client is waited for, and its silence is not the host's
-    timer.cancel();
+    limit(beginBy, Outcome::connectFailed);  // the client is waited for: its silence is not the host's
   }
 
   void put(std::string text, bool last) {
     out = std::move(text);
     lastOut = last;
     // Before the last byte is written it has not run.
-    limit(Clock::now() + kStalled, last ? Outcome::timeout : Outcome::connectFailed);
+    limit(std::min(Clock::now() + kStalled, beginBy), last ? Outcome::timeout : Outcome::connectFailed);
     asio::async_write(socket, asio::buffer(out),
                       [self = shared_from_this(), last](error_code ec, std::size_t) {
                         if (self->phase != Phase::writing) return;
@@ -452,7 +451,7 @@
   hosts_.erase(host);
 }
 
-void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Duration limit,
+void HostPool::start(AttemptKey key, HostId host, HttpRequest request, Times times,
                      std::shared_ptr<Pipe> body) {
   const auto now = Clock::now();
   const auto known = hosts_.find(host);
@@ -469,8 +468,10 @@
   connection->request = std::move(request);
   connection->up = std::move(body);
   connection->sentAt = now;
-  connection->allowed = std::max(limit, Duration::zero());
+  connection->allowed = std::max(times.limit, Duration::zero());
   connection->deadline = now + connection->allowed;
+  connection->beginBy =
+      times.beginWithin == Duration::max() ? Clock::time_point::max() : now + times.beginWithin;
   busy_.emplace(key, connection);
   if (fresh) connection->connect(known->second.endpoint);
   else connection->write();
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -61,9 +61,14 @@
   void list(ochrehill::HostId host, const boost::asio::ip::tcp::endpoint& endpoint, bool serving);
   void unlistAll();                     // before a whole list: what it leaves out serves no more
   void forget(ochrehill::HostId host);  // gone, with no attempt out: its id may be given to another host
-  // Sends the request, on the latest used idle connection if there is one. Ends exactly once. With `body`,
-  // that is what comes through it; the limit counts from its end, as does the time taken.
-  void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, ochrehill::Duration limit,
+  struct Times {
+    ochrehill::Duration limit;        // for the answer
+    ochrehill::Duration beginWithin;  // for the first byte of an attempt, and the last one of its body
+  };
+  // Sends the request, on the latest used idle connection if there is one, and tells the host what is left of
+  // the limit then. Ends exactly once. With `body`, that is what comes through it; the limit counts from its
+  // end, as does the time taken.
+  void start(AttemptKey key, ochrehill::HostId host, HttpRequest request, Times times,
              std::shared_ptr<Pipe> body = nullptr);
   void cancel(AttemptKey key);
   void closeIdle(ochrehill::HostId host);
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,97 @@
+// Two events that cross, on real sockets: each crossing is forced by a peer's script, by the order in which
+// the test acts before the loop runs, or by a connection that comes up when the test lets it.
+#include "gateway_fixture.hpp"
+
+namespace cairnjunction::testing {
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+// A host whose connections do not come up until they are let: its listener's queue is full.
+class LateHost {
+ public:
+  explicit LateHost(asio::io_context& io) : io_(io), acceptor_(io, loopback()) {
+    acceptor_.listen(0);
+    for (int i = 0; i < 4; ++i) {
+      queue_.push_back(std::make_unique<tcp::socket>(io));
+      queue_.back()->async_connect(acceptor_.local_endpoint(), [](error_code) {});
+    }
+    io.poll();
+  }
+  ~LateHost() {
+    for (auto& c : connections_) c->close();
+  }
+  tcp::endpoint endpoint() const { return acceptor_.local_endpoint(); }
+  void let() {
+    for (auto& socket : queue_) socket->close();
+    accept();
+  }
+  std::vector<Request> requests;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+      if (ec) return;
+      connections_.push_back(std::make_shared<PeerConnection>(std::move(socket), [this](PeerConnection& c) {
+        requests.push_back(c.request);
+        c.reply(answerText(200, "", "late"));
+      }));
+      connections_.back()->read();
+      accept();
+    });
+  }
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  std::vector<std::unique_ptr<tcp::socket>> queue_;
+  std::vector<std::shared_ptr<PeerConnection>> connections_;
+};
+
+class CrossingTest : public GatewayFixture {
+ protected:
+  // Only s-late is listed at first, the scripted host s-0 when it is pushed.
+  void startWith(LateHost& late) {
+    discovery.list = {target("s-late", late.endpoint())};
+    start();
+    ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  }
+  json serving(std::size_t host) { return target("s-" + std::to_string(host), hosts[host]->endpoint); }
+  static json draining(const LateHost& late) { return target("s-late", late.endpoint(), "a", "DRAINING"); }
+  // Dials to hosts, idle connections to them and the clients' own: none of the first two are left.
+  bool onlyClientsLeft(std::size_t clients) { return gateway->connections() == clients; }
+  void after(std::chrono::milliseconds time) {
+    asio::steady_timer timer(io, time);
+    bool due = false;
+    timer.async_wait([&](error_code) { due = true; });
+    ASSERT_TRUE(until([&] { return due; }));
+  }
+  json& ceilings() { return config["settings"]["ceilings"]; }
+};
+
+// --- A dial that comes up late --------------------------------------------------------------------------
+
+// A repeat was chosen within the window of the first attempt, and its connection came up after it.
+TEST_F(CrossingTest, ARepeatWhoseConnectionComesUpPastItsWindowNeverBegins) {
+  config["settings"]["grades"][2]["windowNs"] = 1'200'000'000;
+  LateHost late(io);
+  std::shared_ptr<PeerConnection> held;
+  addHost("a", [&](PeerConnection& c, std::size_t) { held = c.shared_from_this(); });
+  start();
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  auto c = client();
+  const auto sent = Clock::now();
+  c->send(text("put"));
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  discovery.push({{"all", false}, {"targets", {target("s-late", late.endpoint())}}});
+  ASSERT_TRUE(until([&] { return gateway->hosts() == 2; }));
+  held->reset();
+  ASSERT_TRUE(until([&] { return !c->answers.empty() || Clock::now() - sent > 1500ms; }));
+  late.let();
+  ASSERT_TRUE(until([&] { return !c->answers.empty(); }));
+  EXPECT_EQ(c->answers[0].result_int(), 502u) << "it may have run, and may not run again";
+  EXPECT_TRUE(late.requests.empty());
+  EXPECT_TRUE(until([&] { return onlyClientsLeft(1); }));
+}
+
+}  // namespace
+}  // namespace cairnjunction::testing
