A dial ends with what it was for: its place in the list, its request, its client

Cause: an attempt still dialling was left alone by a drain, by a whole list without its host, and, where the settings bar `cancel`, by the end of its request and by its client's close; it began when the connection came up. An attempt that has not begun is no running work: giving it up is no cancel. Change: HostPool drops what is unsent to hosts that the list does not call serving, after each list, and the unsent attempts of a request that has ended.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -212,6 +212,8 @@
   // The list from the start may be old. Beside a process that serves, there is time to ask for a new one.
   if (kind != ListKind::restored || (!passed_ && !list.hosts.empty())) becomeReady();
   drainActions();
+  // Danger: a dial may come up long after this, and would begin its attempt at a host that drains or is gone.
+  hosts_.dropUnsentToUnlisted();
 }
 
 void Gateway::becomeReady() {
@@ -296,9 +298,11 @@
   if (known == byClient_.end()) return;
   const RequestId id = known->second;
   byClient_.erase(known);
-  exchanges_.at(id).ended = true;
+  Exchange& exchange = exchanges_.at(id);
+  exchange.ended = true;
   over_.push_back(id);
   balancer_.onClientGone(now(), id);
+  cancelUnsent(id, exchange);
   drainActions();
 }
 
@@ -397,6 +401,7 @@
   const auto it = exchanges_.find(action.request);
   if (it == exchanges_.end() || it->second.ended) return;
   Exchange& exchange = it->second;
+  ++exchange.begun;
   ++exchange.out;
   if (fleet_ && action.attempt > 0) {
     fleet_->retried();
@@ -432,10 +437,19 @@
 
 void Gateway::answer(Exchange& exchange, HttpResponse response, std::shared_ptr<Pipe> rest) {
   exchange.ended = true;
-  byClient_.erase(exchange.client);
+  if (const auto known = byClient_.find(exchange.client); known != byClient_.end()) {
+    cancelUnsent(known->second, exchange);
+    byClient_.erase(known);
+  }
   clients_.answer(exchange.client, std::move(response), std::move(rest));
 }
 
+// Of a request that has ended. Where the settings bar the cancelling of attempts, one that still waits for a
+// connection has not begun, and never does.
+void Gateway::cancelUnsent(RequestId id, const Exchange& exchange) {
+  for (std::uint32_t i = 0; exchange.out > 0 && i < exchange.begun; ++i) hosts_.cancelUnsent({id, i});
+}
+
 // Only the earliest wake counts: the module asks anew at each event for the next.
 void Gateway::wakeAt(Time at) {
   if (wakeAt_ > Time{} && wakeAt_ <= at) return;
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -79,7 +79,8 @@
     HttpRequest message;
     std::shared_ptr<Pipe> body;  // where it was not whole when it was taken
     std::string name;            // the client's id of it
-    std::uint32_t out = 0;       // attempts
+    std::uint32_t begun = 0;     // attempts that were asked for,
+    std::uint32_t out = 0;       // and those of them that are not over
     bool ended = false;          // answered, or its client left
   };
 
@@ -103,6 +104,7 @@
   void giveUp(const ochrehill::Action& action);
   void settle(AttemptEnd end);
   void answer(Exchange& exchange, HttpResponse response, std::shared_ptr<Pipe> rest = nullptr);
+  void cancelUnsent(ochrehill::RequestId id, const Exchange& exchange);
   void wakeAt(ochrehill::Time at);
 
   boost::asio::io_context& io_;
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -81,6 +81,8 @@
     leave();
   }
 
+  bool unsent() const { return phase == Phase::connecting; }
+
   // Lets go of the bodies. An answer that was begun and is not whole is cut.
   void leave() {
     const auto self = shared_from_this();
@@ -489,12 +491,28 @@
     for (auto& connection : std::exchange(known->second.idle, {})) connection->close();
 }
 
-void HostPool::dropUnsent(HostId host) {
+template <class Predicate>
+void HostPool::dropUnsentWhere(Predicate which) {
   std::vector<std::shared_ptr<Connection>> waiting;
   for (const auto& [key, connection] : busy_)
-    if (connection->host == host && connection->phase == Connection::Phase::connecting)
-      waiting.push_back(connection);
-  for (const auto& connection : waiting) connection->end(Outcome::connectFailed);
+    if (connection->unsent() && which(*connection)) waiting.push_back(connection);
+  for (const auto& connection : waiting)  // Danger: what one end brings about may end another
+    if (connection->unsent()) connection->end(Outcome::connectFailed);
+}
+
+void HostPool::dropUnsent(HostId host) {
+  dropUnsentWhere([&](const Connection& c) { return c.host == host; });
+}
+
+void HostPool::dropUnsentToUnlisted() {
+  dropUnsentWhere([&](const Connection& c) {
+    const auto known = hosts_.find(c.host);
+    return known == hosts_.end() || !known->second.serving;
+  });
+}
+
+void HostPool::cancelUnsent(AttemptKey key) {
+  if (const auto it = busy_.find(key); it != busy_.end() && it->second->unsent()) cancel(key);
 }
 
 std::shared_ptr<HostPool::Connection> HostPool::takeIdle(Host& host) {
--- a/src/net/host_pool.hpp
+++ b/src/net/host_pool.hpp
@@ -72,8 +72,12 @@
              std::shared_ptr<Pipe> body = nullptr);
   void cancel(AttemptKey key);
   void closeIdle(ochrehill::HostId host);
-  void dropUnsent(ochrehill::HostId host);  // attempts that wait for a connection: they never ran
-  void stop();                              // closes all without a word
+  // Attempts that wait for a connection never ran, and now never will: those at a host; those at all hosts
+  // that the list does not call serving; one, which ends as cancelled.
+  void dropUnsent(ochrehill::HostId host);
+  void dropUnsentToUnlisted();
+  void cancelUnsent(AttemptKey key);
+  void stop();  // closes all without a word
   std::size_t connections() const { return open_; }
   std::size_t hosts() const { return hosts_.size(); }
 
@@ -90,6 +94,8 @@
     }
   };
 
+  template <class Predicate>
+  void dropUnsentWhere(Predicate which);
   std::shared_ptr<Connection> takeIdle(Host& host);
   bool closeOldestIdle();
   bool outlived(const Connection& connection) const;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -93,5 +93,62 @@
   EXPECT_TRUE(until([&] { return onlyClientsLeft(1); }));
 }
 
+TEST_F(CrossingTest, NothingBeginsAtAHostThatDrainsOrIsGoneWhileItIsDialled) {
+  addHost("a", always(answerText(200, "", "other")));
+  for (const bool whole : {false, true}) {
+    SCOPED_TRACE(whole ? "a whole list leaves it out" : "it drains");
+    LateHost late(io);
+    startWith(late);
+    auto c = client();
+    c->send(text("write"));
+    ASSERT_TRUE(until([&] { return gateway->openRequests() == 1; }));
+    if (whole) discovery.push({{"all", true}, {"targets", {serving(0)}}});
+    else discovery.push({{"all", false}, {"targets", {serving(0), draining(late)}}});
+    ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+    late.let();
+    ASSERT_TRUE(until([&] { return !c->answers.empty(); }));
+    EXPECT_EQ(c->answers[0].body(), "other");
+    EXPECT_TRUE(late.requests.empty());
+    gateway.reset();
+    discovery.held.clear();
+    config.erase("known");
+  }
+}
+
+// The same while a body is being uploaded: its head has not left yet.
+TEST_F(CrossingTest, AnUploadThatWaitsForItsConnectionGoesElsewhereOnADrain) {
+  LateHost late(io);
+  addHost("a", always(answerText(200, "", "other")));
+  startWith(late);
+  auto c = client();
+  const std::string half(80 << 10, 'x');
+  std::string head = text("write");
+  head.replace(head.find("Content-Length: 0"), 17, "Content-Length: " + std::to_string(2 * half.size()));
+  c->send(head + half);
+  ASSERT_TRUE(until([&] { return gateway->openRequests() == 1; }));
+  discovery.push({{"all", false}, {"targets", {serving(0), draining(late)}}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  late.let();
+  c->send(half);
+  ASSERT_TRUE(until([&] { return !c->answers.empty(); }));
+  EXPECT_EQ(c->answers[0].body(), "other");
+  EXPECT_TRUE(late.requests.empty());
+}
+
+// Also where no attempt may be cancelled: one that waits for its connection has not begun.
+TEST_F(CrossingTest, NothingBeginsForAClientThatLeftWhileItsHostWasDialled) {
+  ceilings()["cancel"] = false;
+  LateHost late(io);
+  startWith(late);
+  auto c = client();
+  c->send(text("write"));
+  ASSERT_TRUE(until([&] { return gateway->openRequests() == 1; }));
+  c->close();
+  late.let();
+  ASSERT_TRUE(until([&] { return onlyClientsLeft(0) || !late.requests.empty(); }));
+  EXPECT_TRUE(late.requests.empty()) << "the dial is given up";
+  EXPECT_EQ(gateway->openRequests(), 0u);
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
