A host is told what is left of the time once its connection is up, not at the dial

Change: the connection tells it as it writes the head. Shown: a connection that the system dials again after a second; without the change the host is told a second too much.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -408,8 +408,6 @@
     if (allowed_ > 0) --allowed_;  // as the module has
   }
   HttpRequest message = exchange.message;
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(action.span).count();
-  message.set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(ms, 1)));
   message.version(11);
   message.keep_alive(true);
   if (exchange.body) {
--- a/src/net/host_pool.cpp
+++ b/src/net/host_pool.cpp
@@ -122,6 +122,8 @@
     interim = 0;
     renew();
     if (up) return upload();
+    // What the dial took is no longer left.
+    tellDeadline(deadline - Clock::now());
     limit(std::min(deadline, beginBy), Outcome::timeout);
     http::async_write(socket, request, [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->phase != Phase::writing) return;
@@ -133,9 +135,15 @@
     });
   }
 
+  void tellDeadline(Duration left) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+    request.set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(ms, 1)));
+  }
+
   // --- A body that is still coming ---
 
   void upload() {
+    tellDeadline(allowed);
     boundBuffers(socket);
     const std::weak_ptr<Connection> weak = weak_from_this();
     up->onData = [weak] {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -135,6 +135,20 @@
   EXPECT_TRUE(late.requests.empty());
 }
 
+TEST_F(CrossingTest, AHostIsToldWhatIsLeftOnceItsConnectionIsUp) {
+  LateHost late(io);
+  startWith(late);
+  auto c = client();
+  const auto sent = Clock::now();
+  c->send(text("read", "X-Deadline-Ms: 9000\r\n"));
+  ASSERT_TRUE(until([&] { return gateway->openRequests() == 1; }));
+  late.let();  // the system dials again after a second
+  ASSERT_TRUE(until([&] { return !late.requests.empty(); }));
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - sent);
+  ASSERT_GT(passed, 500ms) << "it did come up late";
+  EXPECT_LE(std::stoll(late.requests[0]["X-Deadline-Ms"].to_string()) + passed.count(), 9000 + 100);
+}
+
 // Also where no attempt may be cancelled: one that waits for its connection has not begun.
 TEST_F(CrossingTest, NothingBeginsForAClientThatLeftWhileItsHostWasDialled) {
   ceilings()["cancel"] = false;
