A client that has gone is noticed whatever it sent ahead; nothing is begun for it

Cause: while a request waited its socket was watched only if nothing had been sent behind it, and an upload's not at all while its pipe was full; and a close that was ready in one turn of the loop with a host's reset, or lay behind an unread request, was seen after the attempt had been sent. What can't be known: a close behind more bytes than the system's buffer takes, as its FIN is not delivered.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -1,6 +1,7 @@
 #include "net/client_server.hpp"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <iterator>
 #include <limits>
 #include <optional>
@@ -86,6 +88,7 @@
     release();
     server_->queue(state_).erase(place_);
     state_ = State::closed;
+    forgetAhead();
     error_code ignored;
     socket_.close(ignored);
     if (const auto rest = std::exchange(rest_, nullptr)) rest->drop();
@@ -104,6 +107,16 @@
     error_code ec;
     return socket_.available(ec) > 0 && !ec;
   }
+  // The client has closed, also where bytes of it lie before the end and are not wanted yet.
+  bool left() {
+    char byte;
+    const ssize_t n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n == 0) return true;
+    if (n < 0) return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    pollfd end{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+  bool watched() const { return armed_; }
   // It is not the client that is waited for.
   bool held() const {
     return (state_ == State::uploading && upload_->full()) || (state_ == State::streaming && !writing_);
@@ -130,7 +143,10 @@
         discarded_ += n;
         buffer_.consume(buffer_.size());
         return discarded_ > kDiscardMost ? close() : arm();
-      default: return;  // sent before it was asked for: kept for the next turn, and no more is read till then
+      default:  // sent before it was asked for: kept for its turn
+        ahead_ += n;
+        server_->ahead_ += n;
+        return listen();
     }
   }
 
@@ -153,6 +169,15 @@
     state_ = state;
     since_ = Clock::now();
     if (state == State::writing || state == State::streaming || state == State::uploading) release();
+    if (state != State::waiting && state != State::streaming) forgetAhead();
+  }
+
+  void forgetAhead() { server_->ahead_ -= std::exchange(ahead_, 0); }
+
+  // While an answer is awaited or passed on, what the client sends is read on, within bounds: this is how its
+  // leaving is noticed. Past them it is looked for (findLeft).
+  void listen() {
+    if (buffer_.size() + kChunk <= buffer_.max_size() && server_->ahead_ < server_->limits_.bodyBytes) arm();
   }
 
   // Whoever works on its request is told that no answer is wanted.
@@ -188,7 +213,6 @@
     arm();
   }
 
-  // Armed also while an answer is awaited: this is how a client's leaving is noticed.
   void arm() {
     if (armed_) return;
     armed_ = true;
@@ -276,7 +300,7 @@
     ClientRequest request{exchange_, std::move(message_), std::move(body)};
     if (!request.body) become(State::waiting);
     server_->waiting_.emplace(exchange_, shared_from_this());
-    if (!request.body && buffer_.size() == 0) arm();
+    if (!request.body) listen();
     if (std::exchange(fresh_, false)) server_->keepRoom();
     server_->callbacks_.request(std::move(request));
   }
@@ -308,7 +332,7 @@
     become(State::waiting);
     pipe->finish();
     if (state_ != State::waiting) return;
-    if (buffer_.size() == 0) arm();
+    listen();
     server_->callbacks_.whole(exchange_);
   }
 
@@ -342,7 +366,7 @@
       const auto self = weak.lock();
       if (self && self->state_ == State::streaming) self->pump();
     };
-    arm();
+    listen();
     write(headText(response_), [this] { pump(); });
   }
 
@@ -405,6 +429,7 @@
   ExchangeId exchange_ = 0;
   Clock::time_point since_ = Clock::now();  // of the state, or of the last progress in it
   std::size_t discarded_ = 0, charged_ = 0, holdMost_ = kHoldLimit;
+  std::size_t ahead_ = 0;  // its part of the server's
   std::uint64_t bodySize_ = 0;
   bool begun_ = false, headSeen_ = false, armed_ = false, keepAlive_ = false, fresh_ = false;
   bool headOnly_ = false, writing_ = false, chunked_ = false, old_ = false;
@@ -461,6 +486,15 @@
   session->answer(std::move(response), std::move(rest));
 }
 
+bool ClientServer::left(ExchangeId exchange) {
+  const auto it = waiting_.find(exchange);
+  if (it == waiting_.end()) return true;
+  const auto session = it->second;
+  if (!session->left()) return false;
+  session->close();
+  return true;
+}
+
 void ClientServer::accept() {
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
     if (ec || !acceptor_.is_open()) return;
@@ -543,6 +577,15 @@
   return false;
 }
 
+// Of those that are not read on, and so would not be heard to leave.
+void ClientServer::findLeft() {
+  std::vector<std::shared_ptr<Session>> gone;
+  for (const State state : {State::uploading, State::waiting, State::streaming})
+    for (const auto& session : queue(state))
+      if (!session->watched() && session->left()) gone.push_back(session);
+  for (const auto& session : gone) session->close();
+}
+
 void ClientServer::ended() {
   --open_;
   if (open_ == 0 && !acceptor_.is_open() && onEmpty)
@@ -595,6 +638,7 @@
       if (session->unread() && state != State::streaming) session->readable();
       if (session->state() == state && now - session->since() > bound) session->expire();
     }
+  findLeft();
   if (shedding_) closeIdle(now - *shedding_ < kShedAll ? now - kShedIdle : now);
   sweeper_.expires_after(kSweep);
   sweeper_.async_wait([this](error_code ec) {
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -62,6 +62,8 @@
   void setLimits(const Limits& limits) { limits_ = limits; }
   // With `rest`, the body is what comes through it, and the response holds none.
   void answer(ExchangeId exchange, HttpResponse response, std::shared_ptr<Pipe> rest = nullptr);
+  // Whether the client of an open exchange has closed, by a look at its socket now; if so, `gone` was told.
+  bool left(ExchangeId exchange);
   void startAccepting();  // of a passed socket; one bound here accepts from the start
   bool accepting() const { return accepting_ && acceptor_.is_open(); }
   // While on, every answer closes its connection, and those that stand idle are closed in steps: first the
@@ -88,6 +90,7 @@
   bool makeRoom();
   void keepRoom();
   bool closeOneOf(State state, std::chrono::steady_clock::time_point before, bool half = false);
+  void findLeft();
   void ended();
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   void sweep();
@@ -100,6 +103,7 @@
   std::shared_ptr<Buffers> buffers_;
   std::array<Queue, 9> queues_;
   std::size_t open_ = 0, bodies_ = 0;
+  std::size_t ahead_ = 0;  // read of requests behind those that are under way
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   ExchangeId lastExchange_ = 0;
   bool passed_ = false, accepting_ = false;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -399,10 +399,20 @@
 
 void Gateway::send(const Action& action) {
   const auto it = exchanges_.find(action.request);
-  if (it == exchanges_.end() || it->second.ended) return;
+  if (it == exchanges_.end()) return;
   Exchange& exchange = it->second;
   ++exchange.begun;
   ++exchange.out;
+  // Danger: the client's close and what brought this about may have come in one turn of the loop, or the
+  // request lay unread while its client gave up: then nothing is begun for it any more.
+  if (exchange.ended || clients_.left(exchange.client)) {
+    AttemptEnd moot;
+    moot.key = {action.request, action.attempt};
+    moot.host = action.host;
+    moot.outcome = Outcome::moot;
+    ends_.push_back(std::move(moot));
+    return;
+  }
   if (fleet_ && action.attempt > 0) {
     fleet_->retried();
     if (allowed_ > 0) --allowed_;  // as the module has
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -149,6 +149,54 @@
   EXPECT_LE(std::stoll(late.requests[0]["X-Deadline-Ms"].to_string()) + passed.count(), 9000 + 100);
 }
 
+// --- A client that has gone -----------------------------------------------------------------------------
+
+// With part of its next request, and with hundreds of them, already sent: more than is read ahead.
+TEST_F(CrossingTest, AClientThatSentAheadAndLeavesIsNoticed) {
+  addHost("a", [](PeerConnection&, std::size_t) {});
+  start();
+  for (const std::size_t ahead : {std::size_t{20}, std::size_t{100} << 10}) {
+    SCOPED_TRACE(ahead);
+    const std::size_t before = reached.size();
+    std::string next;
+    while (next.size() < ahead) next += text("read");
+    next.resize(ahead);
+    auto c = client();
+    c->send(text("read") + next);
+    ASSERT_TRUE(until([&] { return reached.size() == before + 1; }));
+    after(150ms);  // what there is room for has been read
+    c->close();
+    const auto closed = Clock::now();
+    ASSERT_TRUE(until([&] { return hosts[0]->connections.back()->closedByPeer; }));
+    EXPECT_LT(Clock::now() - closed, 5s) << "by its close, not by its deadline";
+    EXPECT_EQ(reached.size(), before + 1) << "nor is what it sent ahead passed on";
+    EXPECT_EQ(gateway->openRequests(), 0u);
+  }
+}
+
+TEST_F(CrossingTest, AClientThatLeavesAnUploadThatTheHostDoesNotTakeIsNoticed) {
+  tcp::acceptor host(io, tcp::v4());  // accepts and never reads
+  host.set_option(asio::socket_base::receive_buffer_size(4096));
+  host.bind(loopback());
+  host.listen();
+  std::vector<tcp::socket> taken;
+  host.async_accept([&](error_code, tcp::socket s) { taken.push_back(std::move(s)); });
+  discovery.list.push_back(target("s-0", host.local_endpoint()));
+  start();
+  auto c = client();
+  std::string head = text("write");
+  head.replace(head.find("Content-Length: 0"), 17, "Content-Length: 16000000");
+  c->send(head + std::string(280 << 10, 'x'));  // more than is held on the way, less than stops its close
+  ASSERT_TRUE(until([&] { return taken.size() == 1; }));
+  after(300ms);  // all that is on the way is full
+  EXPECT_EQ(gateway->openRequests(), 1u);
+  c->close();
+  const auto closed = Clock::now();
+  EXPECT_TRUE(until([&] { return gateway->openRequests() == 0; }));
+  EXPECT_LT(Clock::now() - closed, 5s) << "by its close, not by the stall of its host";
+  EXPECT_TRUE(until([&] { return gateway->connections() == 0; }));
+}
+
 // Also where no attempt may be cancelled: one that waits for its connection has not begun.
 TEST_F(CrossingTest, NothingBeginsForAClientThatLeftWhileItsHostWasDialled) {
   ceilings()["cancel"] = false;
@@ -164,5 +212,42 @@
   EXPECT_EQ(gateway->openRequests(), 0u);
 }
 
+// The request lay in the socket while its client gave up: the close is there when it is read.
+TEST_F(CrossingTest, NothingIsBegunForAClientThatLeftBeforeItsRequestWasRead) {
+  twoHosts(always(answerText(200, "", "x")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  {
+    tcp::socket socket(io);
+    socket.connect(gateway->listening());
+    asio::write(socket, asio::buffer(text("write") + text("read")));
+  }  // closed before the loop runs
+  ASSERT_TRUE(until([&] { return gateway->connections() == 1; })) << "taken";
+  ASSERT_TRUE(until([&] { return gateway->connections() == 0; }));
+  EXPECT_TRUE(reached.empty());
+  EXPECT_EQ(gateway->openRequests(), 0u);
+}
+
+// The client's close and the host's reset are ready in one turn of the loop, in either order.
+TEST_F(CrossingTest, NoFurtherAttemptForAClientThatLeftInTheSameTurn) {
+  ceilings()["cancel"] = false;
+  std::vector<std::shared_ptr<PeerConnection>> held;
+  twoHosts([&](PeerConnection& c, std::size_t) { held.push_back(c.shared_from_this()); });
+  for (const bool closeFirst : {true, false}) {
+    SCOPED_TRACE(closeFirst);
+    held.clear();
+    reached.clear();
+    auto c = client();
+    c->send(text("read"));
+    ASSERT_TRUE(until([&] { return held.size() == 1; }));
+    if (closeFirst) c->close();
+    held[0]->reset();
+    if (!closeFirst) c->close();
+    ASSERT_TRUE(until([&] { return gateway->openRequests() == 0; }));
+    EXPECT_EQ(reached.size(), 1u);
+    after(20ms);
+    EXPECT_EQ(reached.size(), 1u);
+  }
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
