Connections that we end are half closed and read out; what was read at a stop is answered

Cause: resting connections were closed after a look at what had come, so bytes that came in that moment were reset over; at a stop, requests read behind one under way were thrown away with its answer, fresh connections were closed in the moment of their accept, and at the limit of connections those that waited at the listener were reset with it. Shown: tests with raw clients that see how their connection ended; three fail without the change, the one with half a request at the stop passed before too and rules that one out.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -68,7 +68,7 @@
     response_ = std::move(response);
     response_.version(11);
     // A client in error is left: the next it sends may be anything, and the same again costs as much.
-    keepAlive_ = keepAlive_ && !unread && !server_->shedding_ &&
+    keepAlive_ = keepAlive_ && !unread && !shed() &&
                  http::to_status_class(response_.result()) != http::status_class::client_error;
     if (rest) return stream(std::move(rest));
     if (headOnly_) return writeHead();
@@ -150,6 +150,24 @@
     }
   }
 
+  // Ends a connection with nothing under way, from our side: the client reads the end, and what it sent in
+  // that moment is read out and not reset over. It is unread for both, and asked again elsewhere.
+  void retire() {
+    if (state_ == State::fresh || state_ == State::idle) linger();
+  }
+
+  // The same where its descriptor is wanted now.
+  void dismiss() {
+    error_code ec;
+    socket_.shutdown(tcp::socket::shutdown_send, ec);
+    std::size_t n = 1;
+    for (std::size_t read = 0; !ec && n > 0 && read < kDiscardMost; read += n) {
+      buffer_.consume(buffer_.size());
+      n = socket_.read_some(buffer_.prepare(kChunk), ec);
+    }
+    close();
+  }
+
   void touch() {  // there was progress
     Queue& of = server_->queue(state_);
     of.splice(of.end(), of, place_);
@@ -158,8 +176,9 @@
 
   // It was silent for too long. With the head here, or a part of it, the client is told.
   void expire() {
-    if (state_ != State::begun && state_ != State::uploading) return close();
-    reject(http::status::request_timeout);
+    if (state_ == State::begun || state_ == State::uploading) return reject(http::status::request_timeout);
+    if (state_ == State::fresh || state_ == State::idle) return retire();
+    close();
   }
 
  private:
@@ -180,6 +199,13 @@
     if (buffer_.size() + kChunk <= buffer_.max_size() && server_->ahead_ < server_->limits_.bodyBytes) arm();
   }
 
+  // Its answer is to be its last. Danger: a request that was read already is taken, and thrown away it would
+  // be lost; so those read have their turn first, for as long as idle ones are kept.
+  bool shed() const {
+    const auto since = server_->shedding_;
+    return since && (buffer_.size() == 0 || Clock::now() - *since > kShedAll);
+  }
+
   // Whoever works on its request is told that no answer is wanted.
   void leave() {
     const ExchangeId exchange = std::exchange(exchange_, 0);
@@ -545,10 +571,10 @@
 // new ones wait until the silent ones have had their time.
 bool ClientServer::makeRoom() {
   const auto now = Clock::now();
-  if (closeOneOf(State::lingering, now - kSettle) || closeOneOf(State::fresh, now - kSettle)) return true;
+  if (dismissOneOf(State::lingering, now - kSettle) || dismissOneOf(State::fresh, now - kSettle)) return true;
   if (queue(State::fresh).size() > limits_.connections / 2)
-    return closeOneOf(State::fresh, now - kSettle, true);
-  return closeOneOf(State::idle, now) || closeOneOf(State::fresh, now - kSettle, true);
+    return dismissOneOf(State::fresh, now - kSettle, true);
+  return dismissOneOf(State::idle, now) || dismissOneOf(State::fresh, now - kSettle, true);
 }
 
 // Danger: whoever is before the clients lets only so many connections through, and what finds no room there
@@ -561,20 +587,24 @@
   for (const State state :
        {State::idle, State::begun, State::uploading, State::waiting, State::writing, State::streaming})
     asked += queue(state).size();
-  if (asked > limits_.kept) closeOneOf(State::idle, Clock::now());
+  if (asked <= limits_.kept) return;
+  if (Session* const oldest = oldestSilent(State::idle, Clock::now())) oldest->retire();
 }
 
-// The first of a queue's oldest that is silent, or also one with half a request.
-bool ClientServer::closeOneOf(State state, Clock::time_point before, bool half) {
+// The first of a queue's oldest that is silent, or also one with half a request; null: none is.
+ClientServer::Session* ClientServer::oldestSilent(State state, Clock::time_point before, bool half) {
   std::size_t looked = 0;
   for (const auto& session : queue(state)) {
-    if (session->since() > before || ++looked > kLookAt) return false;
-    if (state != State::lingering && !session->silent() && !(half && !session->unread())) continue;
-    const auto chosen = session;
-    chosen->close();
-    return true;
+    if (session->since() > before || ++looked > kLookAt) return nullptr;
+    if (state == State::lingering || session->silent() || (half && !session->unread())) return session.get();
   }
-  return false;
+  return nullptr;
+}
+
+bool ClientServer::dismissOneOf(State state, Clock::time_point before, bool half) {
+  Session* const chosen = oldestSilent(state, before, half);
+  if (chosen) chosen->dismiss();
+  return chosen != nullptr;
 }
 
 // Of those that are not read on, and so would not be heard to leave.
@@ -600,16 +630,25 @@
 }
 
 void ClientServer::closeIdle(Clock::time_point before) {
-  for (const State state : {State::fresh, State::idle}) {
+  // Danger: the request of one that was accepted just now is on its way.
+  for (const auto& [state, last] :
+       {std::pair{State::fresh, std::min(before, Clock::now() - kSettle)}, std::pair{State::idle, before}}) {
     const std::vector<std::shared_ptr<Session>> all(queue(state).begin(), queue(state).end());
     for (const auto& session : all)
-      if (session->since() <= before && session->silent()) session->close();
+      if (session->since() <= last && session->silent()) session->retire();
   }
 }
 
-void ClientServer::stopAccepting() {
+void ClientServer::stopAccepting(std::chrono::milliseconds within) {
   // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
-  if (!passed_) takeWaiting(limits_.connections);
+  if (!passed_ && !takeWaiting(limits_.connections) && within > kAcceptAgain) {
+    closeIdle(Clock::now());
+    again_.expires_after(kAcceptAgain);
+    again_.async_wait([this, within](error_code ec) {
+      if (!ec) stopAccepting(within - kAcceptAgain);
+    });
+    return;
+  }
   error_code ignored;
   acceptor_.close(ignored);
   again_.cancel();
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -69,9 +69,9 @@
   // While on, every answer closes its connection, and those that stand idle are closed in steps: first the
   // longest idle, then all. None with a request on its way is.
   void shed(bool on);
-  // Closes the listener. One bound here takes what waits first, and idle connections go at once; what waits
-  // at a passed one is for another process.
-  void stopAccepting();
+  // Closes the listener. One bound here takes what waits first, for as long as `within` if there is no room,
+  // and idle connections go at once; what waits at a passed one is for another process.
+  void stopAccepting(std::chrono::milliseconds within = std::chrono::milliseconds(1000));
   std::size_t connections() const { return open_; }
 
   std::function<void()> onEmpty;  // after stopAccepting: the last connection is closed
@@ -89,7 +89,8 @@
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
   void keepRoom();
-  bool closeOneOf(State state, std::chrono::steady_clock::time_point before, bool half = false);
+  Session* oldestSilent(State state, std::chrono::steady_clock::time_point before, bool half = false);
+  bool dismissOneOf(State state, std::chrono::steady_clock::time_point before, bool half = false);
   void findLeft();
   void ended();
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -249,5 +249,128 @@
   }
 }
 
+// --- Shutdown -------------------------------------------------------------------------------------------
+
+// A raw client: it sees whether its connection ended in order.
+struct RawClient {
+  RawClient(asio::io_context& io, const tcp::endpoint& to) : socket(io) { socket.connect(to); }
+  void send(const std::string& text) { asio::write(socket, asio::buffer(text)); }
+  void read() {
+    socket.async_read_some(asio::buffer(bytes), [this](error_code ec, std::size_t n) {
+      got.append(bytes.data(), n);
+      ended = ec;
+      if (!ec) read();
+      else if (onEnd) onEnd();
+    });
+  }
+  tcp::socket socket;
+  std::array<char, 4096> bytes{};
+  std::string got;
+  error_code ended;
+  std::function<void()> onEnd;
+};
+
+// Its request arrives in the moment in which its connection is shut: read out, not reset over, not passed on.
+TEST_F(CrossingTest, ARequestThatMeetsTheEndOfItsRestingConnectionIsNeitherResetNorPassedOn) {
+  twoHosts(always(answerText(200, "", "x")));
+  RawClient c(io, gateway->listening());
+  c.read();
+  c.send(text("read"));
+  ASSERT_TRUE(until([&] { return c.got.find("\r\n\r\nx") != std::string::npos; }));
+  const std::size_t before = reached.size();
+  const std::string next = text("write");
+  error_code lateWrite, reset;
+  bool done = false, heard = false;
+  c.onEnd = [&] {  // the end has come, and the gateway cannot have closed since: the loop is ours
+    asio::write(c.socket, asio::buffer(next), lateWrite);
+    c.socket.async_wait(tcp::socket::wait_error, [&](error_code ec) {
+      reset = ec ? ec : asio::error::connection_reset;
+      heard = true;
+    });
+  };
+  gateway->stop([&] { done = true; });
+  ASSERT_TRUE(until([&] { return bool(c.ended); }));
+  EXPECT_EQ(c.ended, asio::error::eof);
+  EXPECT_FALSE(lateWrite);
+  after(100ms);
+  EXPECT_FALSE(heard) << "its connection was reset";
+  c.socket.close();
+  EXPECT_TRUE(until([&] { return done; }));
+  EXPECT_EQ(reached.size(), before);
+}
+
+// Of requests sent ahead, those that were read before the stop are answered; none is cut.
+TEST_F(CrossingTest, RequestsReadBeforeTheStopAreAllAnswered) {
+  std::shared_ptr<PeerConnection> held;
+  addHost("a", [&](PeerConnection& c, std::size_t n) {
+    if (n == 0) held = c.shared_from_this();
+    else c.reply(answerText(200, "", "n" + std::to_string(n)));
+  });
+  start();
+  RawClient c(io, gateway->listening());
+  c.read();
+  c.send(text("write") + text("read") + text("write"));
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  after(20ms);  // all three are read
+  bool done = false;
+  gateway->stop([&] { done = true; });
+  held->reply(answerText(200, "", "first"));
+  ASSERT_TRUE(until([&] { return bool(c.ended); }));
+  EXPECT_EQ(c.ended, asio::error::eof);
+  for (const char* body : {"first", "n1", "n2"}) EXPECT_NE(c.got.find(body), std::string::npos) << c.got;
+  EXPECT_EQ(c.got.find("Connection: close"), c.got.rfind("Connection: close")) << "only the last says so";
+  c.socket.close();
+  EXPECT_TRUE(until([&] { return done; }));
+}
+
+// Half a request is here at the stop, and the client goes on sending after its answer: all is answered that
+// was taken, and what comes behind the end disturbs nobody.
+TEST_F(CrossingTest, HalfARequestAtTheStopIsServedAndWhatFollowsIsReadOut) {
+  addHost("a", always(answerText(200, "", "whole")));
+  start();
+  RawClient c(io, gateway->listening());
+  c.read();
+  const std::string request = text("write", "", "0123456789");
+  c.send(request.substr(0, request.size() - 5));
+  after(20ms);
+  bool done = false;
+  gateway->stop([&] { done = true; });
+  c.send(request.substr(request.size() - 5));
+  ASSERT_TRUE(until([&] { return c.got.find("whole") != std::string::npos; }));
+  for (int i = 0; i < 3; ++i) c.send(text("write"));
+  ASSERT_TRUE(until([&] { return bool(c.ended); }));
+  EXPECT_EQ(c.ended, asio::error::eof) << "no reset over its answer";
+  c.socket.close();
+  EXPECT_TRUE(until([&] { return done; }));
+  EXPECT_EQ(reached.size(), 1u);
+}
+
+// At the limit of connections, those that wait to be accepted when the listener closes hold requests.
+TEST_F(CrossingTest, WhatWaitsAtTheListenerIsTakenAlsoAtTheLimit) {
+  waits.clients.connections = 4;
+  std::vector<std::shared_ptr<PeerConnection>> held;
+  addHost("a", [&](PeerConnection& c, std::size_t) { held.push_back(c.shared_from_this()); });
+  start();
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 8; ++i) {
+    clients.push_back(std::make_unique<RawClient>(io, gateway->listening()));
+    clients.back()->read();
+    clients.back()->send(text("write"));
+  }
+  ASSERT_TRUE(until([&] { return held.size() == 5; })) << "one over the limit";
+  bool done = false;
+  gateway->stop([&] { done = true; });
+  after(750ms);  // the stop comes to its listener, and there is no room
+  EXPECT_EQ(held.size(), 5u);
+  for (auto& c : held) c->reply(answerText(200, "", "ok"));
+  for (auto& c : clients) c->onEnd = [&socket = c->socket] { socket.close(); };
+  std::size_t replied = held.size();
+  ASSERT_TRUE(until([&] {
+    for (; replied < held.size(); ++replied) held[replied]->reply(answerText(200, "", "ok"));
+    return done;
+  }));
+  for (auto& c : clients) EXPECT_NE(c->got.find("200"), std::string::npos) << c->ended.message();
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
