Where lists are said to be pushed the agent is asked: nobody pushes on a socket

Cause: registryMode push switched the asking off, so a gateway kept the list it began with for good. Change: on sockets every list is asked for.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -65,15 +65,17 @@
 
 ochrehill::Settings readSettings(const json& settings) {
   ochrehill::Settings s;
-  std::string registryMode, weights;
+  std::string weights;
   read(settings, "groupSize", s.groupSize);
   read(settings, "myNumber", s.number);
   read(settings, "zone", s.zone);
   read(settings, "overShareWorth", s.overShareWorth);
-  read(settings, "registryMode", registryMode);
   read(settings, "weights", weights);
   read(settings, "stepNs", s.step);
-  s.askDiscovery = registryMode == "ask";
+  // On sockets each list has to be asked for. Danger: where the settings say that lists are pushed, nobody
+  // pushes: the agent that has them is asked like any discovery, and a gateway that waits for it keeps the
+  // list that it began with.
+  s.askDiscovery = true;
   s.liveWeights = weights == "live";
   read(part(settings, "domain"), "warmKeys", s.warmKeys);
   const json& ceilings = part(settings, "ceilings");
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -471,5 +471,17 @@
   for (int i = 0; i < 12; ++i) EXPECT_EQ(ask(text("read")).body(), "1");
 }
 
+// Lists that are pushed in the simulator are asked for on sockets like all others.
+TEST_F(CrossingTest, WhereListsArePushedTheyAreAskedForToo) {
+  config["settings"]["registryMode"] = "push";
+  config["settings"]["rules"].erase("askWithinNs");
+  twoHosts(always(answerText(200, "", "x")));
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  discovery.push({{"all", true}, {"targets", {target("s-1", hosts[1]->endpoint)}}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  for (int i = 0; i < 6; ++i) EXPECT_EQ(ask(text("read")).result_int(), 200u);
+  EXPECT_EQ(std::set<std::string>(reached.begin(), reached.end()), std::set<std::string>{"s-1"});
+}
+
 }  // namespace
 }  // namespace cairnjunction::testing
