A gone client's last dial may drop its request: it is looked up anew at each attempt

Seen: the sanitized run of NothingBeginsForAClientThatLeftWhileItsHostWasDialled read freed memory in Gateway::cancelUnsent. Change: it is found anew for each attempt.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -298,11 +298,10 @@
   if (known == byClient_.end()) return;
   const RequestId id = known->second;
   byClient_.erase(known);
-  Exchange& exchange = exchanges_.at(id);
-  exchange.ended = true;
+  exchanges_.at(id).ended = true;
   over_.push_back(id);
   balancer_.onClientGone(now(), id);
-  cancelUnsent(id, exchange);
+  cancelUnsent(id);
   drainActions();
 }
 
@@ -446,7 +445,7 @@
 void Gateway::answer(Exchange& exchange, HttpResponse response, std::shared_ptr<Pipe> rest) {
   exchange.ended = true;
   if (const auto known = byClient_.find(exchange.client); known != byClient_.end()) {
-    cancelUnsent(known->second, exchange);
+    cancelUnsent(known->second);
     byClient_.erase(known);
   }
   clients_.answer(exchange.client, std::move(response), std::move(rest));
@@ -454,8 +453,12 @@
 
 // Of a request that has ended. Where the settings bar the cancelling of attempts, one that still waits for a
 // connection has not begun, and never does.
-void Gateway::cancelUnsent(RequestId id, const Exchange& exchange) {
-  for (std::uint32_t i = 0; exchange.out > 0 && i < exchange.begun; ++i) hosts_.cancelUnsent({id, i});
+void Gateway::cancelUnsent(RequestId id) {
+  for (std::uint32_t i = 0;; ++i) {
+    const auto it = exchanges_.find(id);  // Danger: with its last attempt it may be dropped
+    if (it == exchanges_.end() || it->second.out == 0 || i >= it->second.begun) return;
+    hosts_.cancelUnsent({id, i});
+  }
 }
 
 // Only the earliest wake counts: the module asks anew at each event for the next.
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -104,7 +104,7 @@
   void giveUp(const ochrehill::Action& action);
   void settle(AttemptEnd end);
   void answer(Exchange& exchange, HttpResponse response, std::shared_ptr<Pipe> rest = nullptr);
-  void cancelUnsent(ochrehill::RequestId id, const Exchange& exchange);
+  void cancelUnsent(ochrehill::RequestId id);
   void wakeAt(ochrehill::Time at);
 
   boost::asio::io_context& io_;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -525,6 +525,49 @@
   }
 }
 
+// A list without end, a head without end and noise are failed calls, each asked anew; the hosts known stay.
+TEST_F(CrossingTest, ADiscoveryThatFloodsIsAFailedCallAndDisturbsNobody) {
+  ScriptedDiscovery scripted(io);
+  addHost("a", always(answerText(200, "", "x")));
+  discovery.peer.endpoint = scripted.peer.endpoint;
+  start();
+  std::string longHead = "HTTP/1.1 200 OK\r\n";
+  for (int i = 0; i < 4000; ++i) longHead += "X-Flood: yyyy\r\n";
+  const std::string blanks(6 << 20, ' ');
+  std::size_t call = 0;
+  for (const std::string& flood :
+       {answerText(200, "", blanks),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n600000\r\n" + blanks, longHead,
+        std::string("\x16\x03\x01noise\r\n\r\n"),
+        answerText(200, "", json{{"rev", 2}, {"all", true}, {"targets", {{{"uid", 7}}}}}.dump())}) {
+    ASSERT_TRUE(until([&] { return scripted.calls.size() == call + 1; }));
+    scripted.calls[call]->reply(flood);
+    ASSERT_TRUE(
+        until([&] { return scripted.calls[call]->closedByPeer || scripted.calls.size() > call + 1; }));
+    EXPECT_EQ(ask(text("read")).result_int(), 200u);
+    ++call;
+  }
+}
+
+// Hundreds of requests at once from one client: another one is answered while they wait.
+TEST_F(CrossingTest, AFloodOfRequestsSentAheadKeepsNobodyWaiting) {
+  std::shared_ptr<PeerConnection> held;
+  addHost("a", [&](PeerConnection& c, std::size_t n) {
+    if (n == 0) held = c.shared_from_this();
+    else c.reply(answerText(200, "", "x"));
+  });
+  start();
+  std::string flood;
+  for (int i = 0; i < 800; ++i) flood += text("read");
+  auto c = client();
+  c->send(flood);
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  EXPECT_EQ(ask(text("write")).result_int(), 200u);
+  held->reply(answerText(200, "", "x"));
+  ASSERT_TRUE(until([&] { return c->answers.size() == 800; })) << "and all of them are, in their turn";
+  for (const Response& r : c->answers) EXPECT_EQ(r.result_int(), 200u);
+}
+
 // Lists that are pushed in the simulator are asked for on sockets like all others.
 TEST_F(CrossingTest, WhereListsArePushedTheyAreAskedForToo) {
   config["settings"]["registryMode"] = "push";
