--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -116,6 +116,31 @@
   }
 }
 
+// The host whose turn it would be drains while the first attempt is out.
+TEST_F(CrossingTest, AFurtherAttemptDoesNotGoToAHostThatBeganToDrainMeanwhile) {
+  std::shared_ptr<PeerConnection> held;
+  for (int i = 0; i < 3; ++i)
+    addHost("a", [&](PeerConnection& c, std::size_t n) {
+      if (n == 0) held = c.shared_from_this();
+      else c.reply(answerText(200, "", "x"));
+    });
+  start();
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  auto c = client();
+  c->send(text("read"));
+  ASSERT_TRUE(until([&] { return held != nullptr; }));
+  const std::size_t first = static_cast<std::size_t>(reached[0].back() - '0');
+  const std::size_t drains = (first + 1) % 3, left = (first + 2) % 3;
+  discovery.push(
+      {{"all", false},
+       {"targets", {target("s-" + std::to_string(drains), hosts[drains]->endpoint, "a", "DRAINING")}}});
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  held->reset();
+  ASSERT_TRUE(until([&] { return !c->answers.empty(); }));
+  EXPECT_EQ(c->answers[0].result_int(), 200u);
+  EXPECT_EQ(reached.back(), "s-" + std::to_string(left));
+}
+
 // The same while a body is being uploaded: its head has not left yet.
 TEST_F(CrossingTest, AnUploadThatWaitsForItsConnectionGoesElsewhereOnADrain) {
   LateHost late(io);
@@ -250,6 +275,39 @@
   }
 }
 
+// The second copy that is due for a slow first attempt; without the close it is sent.
+TEST_F(CrossingTest, NoSecondCopyForAClientThatHasGone) {
+  ceilings()["cancel"] = false;
+  ceilings()["parallelTries"] = true;
+  std::vector<std::shared_ptr<PeerConnection>> held;
+  twoHosts([&](PeerConnection& c, std::size_t) { held.push_back(c.shared_from_this()); });
+  for (int i = 0; i < 4; ++i) {  // answers usually take 40 ms: a copy is due after 100
+    auto c = client();
+    c->send(text("read"));
+    ASSERT_TRUE(until([&] { return !held.empty(); }));
+    after(40ms);
+    held.front()->reply(answerText(200, "", "x"));
+    ASSERT_TRUE(until([&] { return c->answers.size() == 1; }));
+    held.clear();
+  }
+  for (const bool leaves : {true, false}) {
+    SCOPED_TRACE(leaves);
+    const std::size_t before = reached.size();
+    auto c = client();
+    c->send(text("read"));
+    ASSERT_TRUE(until([&] { return reached.size() == before + 1; }));
+    if (leaves) {
+      c->close();
+      after(600ms);
+      EXPECT_EQ(reached.size(), before + 1);
+    } else {
+      EXPECT_TRUE(until([&] { return reached.size() == before + 2; }));
+    }
+    for (auto& h : std::exchange(held, {})) h->reply(answerText(200, "", "x"));
+    ASSERT_TRUE(until([&] { return gateway->openRequests() == 0; }));
+  }
+}
+
 // --- Shutdown -------------------------------------------------------------------------------------------
 
 // A raw client: it sees whether its connection ended in order.
@@ -430,6 +488,23 @@
   for (int i = 0; i < 6; ++i) EXPECT_EQ(ask(text("read")).body(), "1") << "what it leaves out is gone";
 }
 
+// With the waits of service: what the new discovery has counts as told 4 s after SIGHUP.
+TEST_F(CrossingTest, WhatAReloadedDiscoveryHasIsInForceInTimeThoughItsFirstCallIsLost) {
+  addHost("a", always(answerText(200, "", "0")));
+  addHost("a", always(answerText(200, "", "1")));
+  start();
+  ASSERT_TRUE(until([&] { return discovery.held.size() == 1; }));
+  ScriptedDiscovery moved(io);
+  config["discovery"] = textOf(moved.peer.endpoint);
+  const auto began = Clock::now();
+  gateway->reload(parseConfig(config, [](const char*) { return nullptr; }));
+  ASSERT_TRUE(until([&] { return moved.calls.size() == 2; }));
+  EXPECT_LT(Clock::now() - began, 2500ms) << "so an answer 2.01 s late is in force before the drain binds";
+  moved.answer(1, 1, true, json::array({target("s-1", hosts[1]->endpoint)}));
+  ASSERT_TRUE(until([&] { return discovery.held[0]->closedByPeer; }));
+  for (int i = 0; i < 6; ++i) EXPECT_EQ(ask(text("read")).body(), "1");
+}
+
 // Two moves within one call: only the last one counts, whatever the first says later.
 TEST_F(CrossingTest, TwoReloadsWithinOneCallGoToTheLastDiscovery) {
   addHost("a", always(answerText(200, "", "0")));
