A stop at the limit of connections is not lost to a turn of the accept loop

Cause, by reading the two uses of again_: stopAccepting waits on the accept loop's own timer. Where that loop's wait for the listener had completed already, its turn finds no room and starts the timer anew, which cancels the stop's wait: the listener is never closed and the process never ends. Found by the forced test: takeWaiting said 'all taken' after as many as the limit, so the stop closed the listener over what still waited there, and reset it. Change: once a stop has begun the loop takes no turn; takeWaiting tells none left, more, or no room apart.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -523,36 +523,36 @@
 
 void ClientServer::accept() {
   acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
-    if (ec || !acceptor_.is_open()) return;
-    if (takeWaiting(kAcceptAtOnce)) return accept();
+    if (ec || !acceptor_.is_open() || closing_) return;
+    if (takeWaiting(kAcceptAtOnce) != Taken::noRoom) return accept();
     // Danger: with no descriptor left the listener stays readable, and the loop would spin.
     again_.expires_after(kAcceptAgain);
     again_.async_wait([this](error_code waitError) {
-      if (!waitError && acceptor_.is_open()) accept();
+      if (!waitError && acceptor_.is_open() && !closing_) accept();
     });
   });
 }
 
-// Takes what waits; false if there was no room for more. Danger: at the limit, room may be made only for
-// a connection that is there: an idle client is not sent away for nobody. So there may be one over it.
-bool ClientServer::takeWaiting(std::size_t most) {
+// Danger: at the limit, room may be made only for a connection that is there: an idle client is not sent away
+// for nobody. So there may be one over it.
+ClientServer::Taken ClientServer::takeWaiting(std::size_t most) {
   error_code ignored;
   // Danger: the flag belongs to the socket, which others may hold too; where one of them cleared it, an
   // accept that finds nothing would hold up everything.
   acceptor_.non_blocking(true, ignored);
   for (std::size_t i = 0; i < most; ++i) {
-    if (open_ > limits_.connections && !makeRoom()) return false;
+    if (open_ > limits_.connections && !makeRoom()) return Taken::noRoom;
     error_code ec;
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again) return true;
+    if (ec == asio::error::would_block || ec == asio::error::try_again) return Taken::all;
     if (ec == asio::error::connection_aborted || ec == asio::error::interrupted) continue;
-    if (ec) return makeRoom();
+    if (ec) return makeRoom() ? Taken::some : Taken::noRoom;
     if (open_ >= limits_.connections) makeRoom();
     admit(std::move(socket));
-    if (open_ > limits_.connections) return false;
+    if (open_ > limits_.connections) return Taken::noRoom;
   }
-  return true;
+  return Taken::some;
 }
 
 void ClientServer::admit(tcp::socket socket) {
@@ -640,8 +640,10 @@
 }
 
 void ClientServer::stopAccepting(std::chrono::milliseconds within) {
+  // Danger: a turn of the accept loop that is due already would take the timer from the one begun here.
+  closing_ = true;
   // Danger: what waits to be accepted may hold requests already; a closed listener would reset them.
-  if (!passed_ && !takeWaiting(limits_.connections) && within > kAcceptAgain) {
+  if (!passed_ && takeWaiting(limits_.connections) != Taken::all && within > kAcceptAgain) {
     closeIdle(Clock::now());
     again_.expires_after(kAcceptAgain);
     again_.async_wait([this, within](error_code ec) {
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -85,7 +85,8 @@
   static boost::asio::ip::tcp::acceptor open(boost::asio::io_context& io, const Listen& listen);
   void accept();
   void closeIdle(std::chrono::steady_clock::time_point before);
-  bool takeWaiting(std::size_t most);
+  enum class Taken { all, some, noRoom };  // of what waits: more may be there after `some`
+  Taken takeWaiting(std::size_t most);
   void admit(boost::asio::ip::tcp::socket socket);
   bool makeRoom();
   void keepRoom();
@@ -107,7 +108,7 @@
   std::size_t ahead_ = 0;  // read of requests behind those that are under way
   std::unordered_map<ExchangeId, std::shared_ptr<Session>> waiting_;
   ExchangeId lastExchange_ = 0;
-  bool passed_ = false, accepting_ = false;
+  bool passed_ = false, accepting_ = false, closing_ = false;
   std::optional<std::chrono::steady_clock::time_point> shedding_;  // since then
 };
 
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -431,6 +431,41 @@
   for (auto& c : clients) EXPECT_NE(c->got.find("200"), std::string::npos) << c->ended.message();
 }
 
+// A turn of the accept loop is due when the stop comes, and there is no room: the stop must not be lost to
+// it. Here the turn is always due: what waits at the listener was there before the loop ran first.
+TEST_F(CrossingTest, AStopAtTheLimitIsNotLostToATurnOfTheAcceptLoop) {
+  ClientServer::Limits limits;
+  limits.connections = 1;
+  std::vector<ExchangeId> asked;
+  bool empty = false;
+  ClientServer server(io, {loopback(), std::nullopt}, limits,
+                      {[&](ClientRequest request) { asked.push_back(request.exchange); }, [](ExchangeId) {},
+                       [](ExchangeId) {}});
+  server.onEmpty = [&] { empty = true; };
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 3; ++i) {
+    clients.push_back(std::make_unique<RawClient>(io, server.listening()));
+    clients.back()->read();
+    clients.back()->send(text("write"));
+    clients.back()->onEnd = [&socket = clients.back()->socket] { socket.close(); };
+  }
+  server.shed(true);
+  server.stopAccepting(20s);
+  ASSERT_TRUE(until([&] { return asked.size() == 2; })) << "one over the limit";
+  EXPECT_TRUE(server.accepting()) << "the third waits";
+  std::size_t answered = 0;
+  ASSERT_TRUE(until([&] {
+    for (; answered < asked.size(); ++answered) {
+      HttpResponse response;
+      response.result(http::status::ok);
+      server.answer(asked[answered], std::move(response));
+    }
+    return empty;
+  }));
+  EXPECT_FALSE(server.accepting());
+  for (auto& c : clients) EXPECT_NE(c->got.find("200"), std::string::npos) << c->ended.message();
+}
+
 // --- Discovery ------------------------------------------------------------------------------------------
 
 // A discovery that is fully scripted: each call is kept, with what it asked for.
