The waits of discovery, of the module and of stops are on a clock that is handed in

Need: the issue asks for each path of discovery on a clock handed in; Discovery's timers and the gateway's wake read the system's. Change: net/clock.hpp, a clock with timers of one wait each; Gateway::Waits names one for tests, the system's is the default. A timer that was due already and is cancelled calls nothing, so that Call's count of turns goes. No behaviour changes.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -23,20 +23,20 @@
   Discovery* owner;  // null once given up
   tcp::endpoint server;
   tcp::socket socket;
-  asio::steady_timer timer;
+  std::unique_ptr<Timer> timer;
   boost::beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
   Kind kind = Kind::list;
-  std::uint64_t turn = 0;   // of the call; a timer of an earlier one that is already due is told by it
   std::uint64_t count = 0;  // of versions, at its begin
   bool beside = false;      // a late one
 
-  Call(Discovery& d, tcp::endpoint s) : owner(&d), server(std::move(s)), socket(d.io_), timer(d.io_) {}
+  Call(Discovery& d, tcp::endpoint s)
+      : owner(&d), server(std::move(s)), socket(d.io_), timer(d.clock_.timer()) {}
 
   void giveUp() {
     owner = nullptr;
-    timer.cancel();
+    timer->cancel();
     error_code ignored;
     socket.close(ignored);
   }
@@ -60,10 +60,8 @@
   }
 
   void endAfter(std::chrono::milliseconds limit) {
-    timer.expires_after(limit);
-    timer.async_wait([self = shared_from_this(), mine = ++turn](error_code ec) {
-      if (ec || !self->owner || mine != self->turn || self->owner->fellSilent(self)) return;
-      self->finish(std::nullopt);
+    timer->waitUntil(owner->clock_.now() + limit, [self = shared_from_this()] {
+      if (self->owner && !self->owner->fellSilent(self)) self->finish(std::nullopt);
     });
   }
 
@@ -90,16 +88,16 @@
   }
 
   void finish(const std::optional<HostList>& list) {
-    ++turn;
-    timer.cancel();
+    timer->cancel();
     error_code ignored;
     if (!list || !parser->get().keep_alive()) socket.close(ignored);
     owner->ended(shared_from_this(), list);
   }
 };
 
-Discovery::Discovery(asio::io_context& io, tcp::endpoint server, Callbacks callbacks, Waits waits)
-    : io_(io), server_(std::move(server)), callbacks_(std::move(callbacks)), waits_(waits) {}
+Discovery::Discovery(asio::io_context& io, Clock& clock, tcp::endpoint server, Callbacks callbacks,
+                     Waits waits)
+    : io_(io), clock_(clock), server_(std::move(server)), callbacks_(std::move(callbacks)), waits_(waits) {}
 
 Discovery::~Discovery() { stop(); }
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -15,6 +14,7 @@
 #include <memory>
 #include <optional>
 
+#include "net/clock.hpp"
 #include "net/host_list.hpp"
 
 namespace cairnjunction {
@@ -40,8 +40,8 @@
     std::chrono::milliseconds late{2500};
   };
 
-  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server, Callbacks callbacks,
-            Waits waits);
+  Discovery(boost::asio::io_context& io, Clock& clock, boost::asio::ip::tcp::endpoint server,
+            Callbacks callbacks, Waits waits);
   ~Discovery();
   Discovery(const Discovery&) = delete;
   Discovery& operator=(const Discovery&) = delete;
@@ -75,6 +75,7 @@
   void drop();                           // all calls that are in time
 
   boost::asio::io_context& io_;
+  Clock& clock_;
   boost::asio::ip::tcp::endpoint server_;
   Callbacks callbacks_;
   Waits waits_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -15,7 +15,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::beast::string_view;
-using boost::system::error_code;
 using ochrehill::Action;
 using ochrehill::ActionKind;
 using ochrehill::Duration;
@@ -26,7 +25,6 @@
 using ochrehill::Phase;
 using ochrehill::RequestId;
 using ochrehill::Time;
-using Clock = std::chrono::steady_clock;
 
 // The module's clock at our start: hosts that started up to a day before have a time of their own on it.
 constexpr Time kClockStart = std::chrono::hours(24);
@@ -119,8 +117,8 @@
 
 Gateway::Gateway(asio::io_context& io, const Config& config, Waits waits,
                  std::function<void(std::string)> log)
-    : io_(io),
-      start_(Clock::now()),
+    : clock_(waits.clock ? waits.clock : std::make_shared<SystemClock>(io)),
+      start_(clock_->now()),
       unixStart_(std::chrono::system_clock::now()),
       settings_(config.module),
       config_(config),
@@ -135,7 +133,7 @@
           },
           buffers_),
       discovery_(
-          io, config.discovery,
+          io, *clock_, config.discovery,
           {[this](const HostList& list) { told(list, list.full ? ListKind::replace : ListKind::update); },
            [this] {
              balancer_.onHosts(now(), ListKind::unavailable, {});
@@ -143,9 +141,9 @@
              if (passed_ && hosts_.hosts() > 0) becomeReady();
            }},
           waits.discovery),
-      waker_(io),
-      stopTimer_(io),
-      readyTimer_(io),
+      waker_(clock_->timer()),
+      stopTimer_(clock_->timer()),
+      readyTimer_(clock_->timer()),
       passed_(config.passedSocket.has_value()),
       clients_(io, {config.listen, config.passedSocket}, clientLimits(config, waits.clients, false),
                {[this](ClientRequest request) { received(std::move(request)); },
@@ -161,9 +159,8 @@
   // The module asks discovery once it was given a list, an empty one too.
   told(config.known ? *config.known : HostList{0, true, {}}, ListKind::restored);
   if (!passed_) return;
-  readyTimer_.expires_after(kListWait);
-  readyTimer_.async_wait([this](error_code ec) {
-    if (!ec && hosts_.hosts() > 0) becomeReady();
+  readyTimer_->waitUntil(clock_->now() + kListWait, [this] {
+    if (hosts_.hosts() > 0) becomeReady();
   });
 }
 
@@ -172,7 +169,7 @@
   discovery_.stop();
 }
 
-Time Gateway::now() const { return kClockStart + (Clock::now() - start_); }
+Time Gateway::now() const { return kClockStart + (clock_->now() - start_); }
 
 // By one offset for good: the module takes a host whose start moved for a new process.
 Time Gateway::moduleTime(std::int64_t unixMs) const {
@@ -465,9 +462,8 @@
 void Gateway::wakeAt(Time at) {
   if (wakeAt_ > Time{} && wakeAt_ <= at) return;
   wakeAt_ = at;
-  waker_.expires_at(start_ + (at - kClockStart));
-  waker_.async_wait([this](error_code ec) {
-    if (ec || now() < wakeAt_) return;
+  waker_->waitUntil(start_ + (at - kClockStart), [this] {
+    if (now() < wakeAt_) return;
     wakeAt_ = Time{};
     balancer_.onWake(now());
     drainActions();
@@ -537,9 +533,7 @@
   stopped_ = std::move(done);
   clients_.shed(true);
   // What waits at a passed socket is taken by the next process; at our own it would be lost.
-  stopTimer_.expires_after(passed_ ? std::chrono::milliseconds(0) : kAcceptOn);
-  stopTimer_.async_wait([this](error_code ec) {
-    if (ec) return;
+  stopTimer_->waitUntil(clock_->now() + (passed_ ? std::chrono::milliseconds(0) : kAcceptOn), [this] {
     clients_.onEmpty = [this] { stopped_(); };
     clients_.stopAccepting();
   });
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "net/client_server.hpp"
+#include "net/clock.hpp"
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/host_pool.hpp"
@@ -33,6 +34,7 @@
   struct Waits {  // shorter in tests only
     ClientServer::Limits clients;
     Discovery::Waits discovery;
+    std::shared_ptr<Clock> clock;  // of the module, of discovery and of stops; null: the system's
   };
 
   // Listens and asks discovery at once. Throws boost::system::system_error if it can't listen.
@@ -107,7 +109,7 @@
   void cancelUnsent(ochrehill::RequestId id);
   void wakeAt(ochrehill::Time at);
 
-  boost::asio::io_context& io_;
+  std::shared_ptr<Clock> clock_;
   std::chrono::steady_clock::time_point start_;
   std::chrono::system_clock::time_point unixStart_;
   ochrehill::Settings settings_;
@@ -124,7 +126,7 @@
   std::unordered_set<std::string> names_;   // of exchanges_
   std::vector<ochrehill::RequestId> over_;  // may be dropped once the actions are done
   std::deque<AttemptEnd> ends_;             // raised while actions are carried out
-  boost::asio::steady_timer waker_, stopTimer_, readyTimer_;
+  std::unique_ptr<Timer> waker_, stopTimer_, readyTimer_;
   ochrehill::Time wakeAt_{};
   ochrehill::RequestId lastRequest_ = 0;
   std::function<void()> stopped_;
