A wake asked for at the very moment of another is not lost

Seen with the clock handed in: after two calls lost in silence no third was made for a minute. Discovery's failure fell on the nanosecond of the module's wake. Cause: at that moment the module asks for a wake a nanosecond later and then counts on it; Gateway::wakeAt dropped it, as one later than the wake still to come, so that nothing woke the module until some other event. With traffic the next request woke it; an idle gateway slept on, and did not ask discovery. Ruled out: the module itself (it replaces the one wake that it keeps in mind), the test's clock. Change: the newest wake counts, and replaces the one before.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -458,13 +458,10 @@
   }
 }
 
-// Only the earliest wake counts: the module asks anew at each event for the next.
+// Danger: the module keeps one wake in mind, and asks for none while that one is to come. So the newest
+// counts: an event at the very moment of a wake asks for another that is a nanosecond later.
 void Gateway::wakeAt(Time at) {
-  if (wakeAt_ > Time{} && wakeAt_ <= at) return;
-  wakeAt_ = at;
   waker_->waitUntil(start_ + (at - kClockStart), [this] {
-    if (now() < wakeAt_) return;
-    wakeAt_ = Time{};
     balancer_.onWake(now());
     drainActions();
   });
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -127,7 +127,6 @@
   std::vector<ochrehill::RequestId> over_;  // may be dropped once the actions are done
   std::deque<AttemptEnd> ends_;             // raised while actions are carried out
   std::unique_ptr<Timer> waker_, stopTimer_, readyTimer_;
-  ochrehill::Time wakeAt_{};
   ochrehill::RequestId lastRequest_ = 0;
   std::function<void()> stopped_;
   std::function<void(const std::string&)> listed_;
--- /dev/null
+++ b/tests/discovery_paths_test.cpp
@@ -0,0 +1,144 @@
+// How long until what discovery has is in force, on every path to it, in time that the test moves: sockets
+// are real, but each wait of the gateway's and of discovery's is on the clock handed in. Discovery
+// answers 2.01 s late throughout, as a busy one does, and each crossing is put at its worst moment by the
+// script.
+#include <algorithm>
+
+#include "gateway_fixture.hpp"
+#include "hand_clock.hpp"
+
+namespace cairnjunction::testing {
+namespace {
+
+using namespace std::chrono_literals;
+using Point = HandClock::Point;
+
+constexpr auto kBusy = 2010ms;  // until a call is answered
+constexpr auto kTold = 6000ms;  // after discovery could be reached, what it has counts as told;
+[[maybe_unused]] constexpr auto kToldReloaded = 4000ms;  // so long after SIGHUP;
+[[maybe_unused]] constexpr auto kToldSilent =
+    22000ms;                                     // for a watch of 20 s that falls silent: 2 s after its wait
+[[maybe_unused]] constexpr auto kBinds = 500ms;  // a drain binds so long after it counts as told
+
+enum class Does { answers, isSilent, refuses, ends };  // with a call; `ends`: closes without a word
+
+struct Call {
+  Point at;
+  std::string target;
+};
+
+class DiscoveryPathsTest : public GatewayFixture {
+ protected:
+  using Script = std::function<Does(std::size_t call, const Call&)>;
+
+  // A discovery by a script. From `changed` on it names a second host.
+  struct Server {
+    Server(DiscoveryPathsTest& test, Script s)
+        : script(std::move(s)), peer(test.io, [this, &test](PeerConnection& c) {
+            calls.push_back({test.clock->now(), c.request.target().to_string()});
+            const Does does = script(calls.size() - 1, calls.back());
+            if (does == Does::isSilent) return;
+            const bool watch = calls.back().target.find("timeout_ms=20000") != std::string::npos;
+            // A watch is answered when there is something to tell, and fails at once.
+            if (watch && does == Does::answers && !changed) return;
+            timers.push_back(test.clock->timer());
+            const bool whole = calls.back().target.find("since=") == std::string::npos;
+            timers.back()->waitUntil(
+                test.clock->now() + (watch ? 0ms : kBusy),
+                [this, &test, does, whole, c = c.shared_from_this()] { reply(test, *c, does, whole); });
+          }) {}
+    void reply(DiscoveryPathsTest& test, PeerConnection& c, Does does, bool whole) {
+      if (does == Does::ends) return c.close();
+      if (does == Does::refuses) return c.reply(answerText(503, "Connection: close\r\n", ""), true);
+      json hosts = json::array();
+      if (whole) hosts.push_back(target("s-0", test.hosts[0]->endpoint));
+      if (changed) hosts.push_back(target("s-1", test.hosts[1]->endpoint));
+      c.reply(answerText(200, "", json{{"rev", changed ? 9 : 1}, {"all", whole}, {"targets", hosts}}.dump()));
+    }
+    Script script;
+    bool changed = true;
+    std::vector<Call> calls;
+    std::vector<std::unique_ptr<Timer>> timers;
+    Peer peer;
+  };
+
+  void begin(Server& server, const char* seed, json askWithin) {
+    hosts.clear();
+    discovery.list = json::array();
+    clock = std::make_shared<HandClock>();
+    waits.clock = clock;
+    addHost("a", always(answerText(200, "", "0")));
+    hosts.push_back(std::make_unique<Peer>(io, nullptr));  // not known at first
+    config = configJson();
+    config["seed"] = seed;
+    config["settings"]["rules"]["askWithinNs"] = std::move(askWithin);
+    discovery.peer.endpoint = server.peer.endpoint;
+    start();
+  }
+  // All that is on its way between sockets of this thread arrives; no time passes on the clock.
+  void settle() {
+    io.restart();
+    if (io.poll() == 0) return;  // on loopback what was sent is there
+    do io.restart();
+    while (io.poll() > 0 || io.run_one_for(1ms) > 0);
+  }
+  // Until the second host is listed, for a minute of the clock at most.
+  Point inForce() {
+    const Point most = clock->now() + 60s;
+    for (settle(); gateway->hosts() < 2 && clock->now() < most; settle()) clock->step(most);
+    return clock->now();
+  }
+  template <class Predicate>
+  void runUntilTime(Predicate predicate) {
+    const Point most = clock->now() + 60s;
+    for (settle(); !predicate() && clock->now() < most; settle()) clock->step(most);
+    ASSERT_TRUE(predicate());
+  }
+  void TearDown() override { gateway.reset(); }
+
+  std::shared_ptr<HandClock> clock;
+};
+
+long long ms(HandClock::Point::duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+// Seeds draw the jitter of the wait after a failed call; the settings say how long a gateway may be silent.
+struct Variant {
+  const char* seed;
+  std::int64_t askWithin;
+  friend std::ostream& operator<<(std::ostream& out, const Variant& v) {
+    return out << v.seed << " " << v.askWithin;
+  }
+};
+class EachVariant : public DiscoveryPathsTest, public ::testing::WithParamInterface<Variant> {
+ protected:
+  void begin(Server& server) { DiscoveryPathsTest::begin(server, GetParam().seed, GetParam().askWithin); }
+  // Discovery goes down with some calls and can be reached from just after the last of them.
+  void downFor(std::size_t lost, const std::function<Does(std::size_t)>& does) {
+    Server server(*this, [&](std::size_t n, const Call&) { return n < lost ? does(n) : Does::answers; });
+    begin(server);
+    const Point known = inForce();
+    ASSERT_GT(server.calls.size(), lost);
+    EXPECT_LE(ms(known - server.calls[lost - 1].at), ms(kTold)) << lost << " calls lost";
+    gateway.reset();
+  }
+};
+
+TEST_P(EachVariant, FirstCallsThatAreLostInSilence) {
+  for (std::size_t lost = 1; lost <= 6; ++lost) downFor(lost, [](std::size_t) { return Does::isSilent; });
+}
+
+std::vector<Variant> variants() {
+  std::vector<Variant> all;
+  for (const std::int64_t s : {0, 10, 60})
+    for (const char* seed : {"1", "777"}) all.push_back({seed, s * 1'000'000'000});
+  return all;
+}
+
+INSTANTIATE_TEST_SUITE_P(Paths, EachVariant, ::testing::ValuesIn(variants()), [](const auto& info) {
+  return std::string(info.param.seed) + "_" + std::to_string(info.param.askWithin / 1'000'000'000) + "s";
+});
+
+}  // namespace
+}  // namespace cairnjunction::testing
