Judgements on hosts reach all of a large fleet, also of gateways that see little

Seen: of ten failing hosts two to four were out at 300 thin gateways in 30 s. Causes, each by a test that fails without its mend: - a word counts once two relays brought it, so with k tellings each it dies out while under 2/k^2 of the members have it; with k = 6 at 300 that takes 17, and its observer told 6.

--- a/src/lab/live_day.cpp
+++ b/src/lab/live_day.cpp
@@ -260,6 +260,7 @@
   promise.limitLapseS = slotS * file.value("limit_lapse_slots", 3.0);
   if (const auto it = file.find("limits"); it != file.end())
     for (const auto& l : *it) promise.limits[l.value("name", "")] = l.value("per_s", 0.0);
+  promise.bytesFromS = rig().within.bytesFromS;
   FleetCheck check(promise);
   check.ends(talkEnds_);
   for (const auto& [name, at] : kills_) check.killed(name, at);
--- a/src/lab/rig/fleet_check.cpp
+++ b/src/lab/rig/fleet_check.cpp
@@ -34,8 +34,9 @@
     refused_ += v.value("refused", std::uint64_t{0});
     if (v.contains("sent_bytes")) {
       const double bytes = v["sent_bytes"].get<double>();
-      const auto [it, fresh] = traffic_.try_emplace(life, Traffic{at, at, bytes, bytes});
-      it->second.lastAt = at, it->second.lastBytes = bytes;
+      Traffic& t = traffic_.try_emplace(life, Traffic{at, at, at, bytes, bytes}).first->second;
+      t.lastAt = at, t.lastBytes = bytes;
+      if (at - t.startAt < promise_.bytesFromS) t.firstAt = at, t.firstBytes = bytes;
       for (const char* gauge : {"overdrawn", "bad_payloads", "dropped"})
         gauges_[life][gauge] = v.value(gauge, std::uint64_t{0});
     }
--- a/src/lab/rig/plan.cpp
+++ b/src/lab/rig/plan.cpp
@@ -56,6 +56,8 @@
      &RigBounds::healedS},
     {"bytes_per_member_s", "B/s", 0, 1e9, "that a gateway tells others, in the mean, at most",
      &RigBounds::bytesPerMemberS},
+    {"bytes_from_s", "s", 0, 86400, "these are counted from so long after a gateway's start",
+     &RigBounds::bytesFromS},
     {"hosts_out", "", 0, 100000, "by the fleet's word at once, at most", &RigBounds::hostsOut},
     {"hosts_ever_out", "", 0, 100000, "by the fleet's word at any time, at least", &RigBounds::hostsEverOut}};
 
--- a/src/lab/rig/plan.hpp
+++ b/src/lab/rig/plan.hpp
@@ -62,6 +62,7 @@
   // window.
   double retriesOver = -1, limitsOver = -1, detectP99S = -1, falseDeaths = -1, healedS = -1;
   double bytesPerMemberS = -1, hostsOut = -1;  // most
+  double bytesFromS = 0;                       // bytes are counted from so long after a gateway's start
   double hostsEverOut = -1;                    // least
 };
 
--- a/src/shared/state.cpp
+++ b/src/shared/state.cpp
@@ -16,9 +16,8 @@
 constexpr std::size_t kNameMost = 128;      // bytes of a host's or member's name
 constexpr std::size_t kThingsMost = 64;     // counted things in a row
 constexpr std::size_t kListMost = 256;      // entries of one list in a payload
-constexpr std::size_t kJudgementsEach = 4;  // in one message
+constexpr std::size_t kJudgementsEach = 6;  // in one message
 constexpr unsigned kRowTimes = 2;           // a row that grew is told on so often by each member
-constexpr double kJudgementSpread = 2;      // times log10 of the members
 constexpr Time kRowLeast = std::chrono::seconds(2), kRowEach = std::chrono::milliseconds(100);
 constexpr Time kRowLife = std::chrono::seconds(300);  // without growth: its life is over
 enum Thing { requests, retries, firstLimit };
@@ -236,12 +235,11 @@
     return true;
   };
   if (plan_.judgesHosts) {
-    const auto times =
-        1 +
-        static_cast<unsigned>(std::ceil(kJudgementSpread * std::log10(static_cast<double>(view_.alive) + 1)));
+    const unsigned times = Judgements::timesToTell(view_.alive);
     for (const auto& [key, j] : judgements_.toTell(kJudgementsEach, times))
-      append(verdicts, {key.observer, key.host, j.life, j.sequence, j.atMs, static_cast<unsigned>(j.verdict),
-                        j.good, j.failed});
+      if (append(verdicts, {key.observer, key.host, j.life, j.sequence, j.atMs,
+                            static_cast<unsigned>(j.verdict), j.good, j.failed}))
+        judgements_.told(key);
   }
   auto next = rows_.end();
   for (auto it = rows_.begin(); it != rows_.end(); ++it)
--- a/tests/shared_test.cpp
+++ b/tests/shared_test.cpp
@@ -463,6 +463,104 @@
   EXPECT_TRUE(q.j.accepted().empty());
 }
 
+// Gateways with a trickle each, none of which sees enough for a verdict of its own.
+TEST(Judgements, ThinObserversTakeAHostOutByWhatTheySawTogether) {
+  const auto hear = [](Panel& p, int by, Verdict verdict, std::uint32_t good, std::uint32_t failed) {
+    const std::string name = "g" + std::to_string(by);
+    p.j.onHeard(p.now, name, {name, "h3"}, {1, 1, p.now / 1ms, verdict, good, failed});
+  };
+  Panel p;
+  for (int by = 1; by <= 8; ++by) hear(p, by, Verdict::suspect, 0, 1);
+  EXPECT_EQ(p.out(), Names{}) << "eight failures, a quorum of verdicts takes nine";
+  hear(p, 9, Verdict::suspect, 0, 1);
+  EXPECT_EQ(p.out(), Names{"h3"});
+  Panel good;  // as many outcomes of others were good
+  for (int by = 1; by <= 5; ++by) hear(good, by, Verdict::suspect, 1, 2);
+  for (int by = 6; by <= 11; ++by) hear(good, by, Verdict::well, 3, 0);
+  EXPECT_EQ(good.out(), Names{});
+  Panel loud;  // two that shout weigh no more than three failures each, and are no quorum
+  for (int by = 1; by <= 2; ++by) hear(loud, by, Verdict::bad, 0, 1u << 31);
+  EXPECT_EQ(loud.out(), Names{});
+  for (int by = 3; by <= 4; ++by) hear(loud, by, Verdict::suspect, 0, 1);
+  EXPECT_EQ(loud.out(), Names{});
+  hear(loud, 5, Verdict::suspect, 0, 1);
+  EXPECT_EQ(loud.out(), Names{"h3"});
+}
+
+// One that meets failures nearly everywhere, a few at each host, suspects none of them aloud.
+TEST(Judgements, AThinGatewayThatIsCutOffFromItsHostsKeepsSilent) {
+  for (const bool cutOff : {true, false}) {
+    Panel p;
+    for (int i = 0; i < 6; ++i) p.j.onOutcome(p.now, "h" + std::to_string(i), !cutOff && i > 0);
+    p.out();
+    EXPECT_EQ(p.j.accepted().size(), cutOff ? 0u : 1u);
+  }
+}
+
+TEST(Judgements, AFleetOfThinMembersTakesABadHostOut) {
+  SharedFleet f(50, 11);
+  f.plan.limits = {{"all", "", "", 1e6, true}};
+  for (int i = 0; i < 20; ++i) f.hosts.push_back("h" + std::to_string(i));
+  f.startAll();
+  f.sim.runFor(10s);
+  for (std::size_t i = 0; i < 30; ++i) {  // one failure of two outcomes each
+    f.states[i]->onOutcome(f.unix(), "h4", false);
+    f.states[i]->onOutcome(f.unix(), "h7", true);
+  }
+  EXPECT_TRUE(f.sim.runUntilDone(10s, [&] {
+    return std::all_of(f.states.begin(), f.states.end(),
+                       [](const auto& s) { return s->hostsOut() == Names{"h4"}; });
+  }));
+}
+
+// Words of one failure each go from member to member by chance until nothing is left to tell.
+TEST(Judgements, WordsReachAllOfALargeFleetThoughTwoRelaysMustBringThem) {
+  for (const std::size_t count : {50u, 300u, 1000u}) {
+    SCOPED_TRACE(count);
+    std::mt19937_64 draws(count);
+    const auto name = [](std::size_t i) { return "g" + std::to_string(i); };
+    const unsigned times = Judgements::timesToTell(count);
+    const shared::Time now = kEpoch;
+    std::vector<Judgements> all;
+    FleetView view{count, count, true, {}};
+    for (std::size_t i = 0; i < count; ++i) {
+      view.living.insert(name(i));
+      all.emplace_back(JudgementSettings{}, Life{name(i), i + 1});
+      all[i].onHosts({"h0", "h1", "h2", "h3", "h4", "h5"});
+      if (i < 12) all[i].onOutcome(now, "h3", false);
+    }
+    for (Judgements& j : all) j.onTick(now, view);
+    for (bool more = true; more;) {
+      more = false;
+      for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t to = (i + 1 + draws() % (count - 1)) % count;
+        for (const auto& [key, word] : all[i].toTell(6, times)) {
+          all[to].onHeard(now, name(i), key, word);
+          all[i].told(key);
+          more = true;
+        }
+      }
+    }
+    std::size_t out = 0;
+    for (Judgements& j : all) j.onTick(now, view), out += j.out() == Names{"h3"};
+    EXPECT_GE(out, count * 99 / 100);
+  }
+}
+
+// A judgement that found no room in a datagram has not been told.
+TEST(Judgements, WhatFoundNoRoomIsToldWithTheNextDatagram) {
+  SharedFleet f(2, 5);
+  f.plan.limits.clear();
+  f.hosts = {std::string(100, 'h'), "h1", "h2", "h3", "h4"};
+  FleetState s(f.plan, "g0", 1, f.unix());
+  s.onHosts(f.hosts);
+  for (int n = 0; n < 4; ++n) s.onOutcome(f.unix(), f.hosts[0], false);
+  s.onTick(f.unix(), {2, 2, true, {"g0", "g1"}});
+  for (int n = 0; n < 10; ++n)
+    EXPECT_EQ(s.payloadFor("g1", 100).find(f.hosts[0]), std::string::npos) << "there is no room";
+  EXPECT_NE(s.payloadFor("g1", 700).find(f.hosts[0]), std::string::npos);
+}
+
 TEST(Judgements, AFleetOfFiftyTakesABadHostOutWithinSeconds) {
   SharedFleet f(50, 9);
   f.plan.limits.clear();
