A suspicion of a host that no other gateway shares is told by its observer only

Cause, by reading: each single failure in a calm fleet was told on 13 times by each of 300. Change: a suspicion is told on by others once a second observer shares it; its observer tells it twice as often, so that such observers are found.

--- a/src/shared/judgements.cpp
+++ b/src/shared/judgements.cpp
@@ -98,13 +98,22 @@
 
 void Judgements::accept(const JudgementKey& key, const Judgement& j) {
   if (!join(accepted_, key, j)) return;
-  if (worthTelling(key, j)) told_[key] = 0;
-  else told_.erase(key);
+  told_.erase(key);
+  for (const auto& [other, word] : accepted_)  // with a second observer the first one's word is worth it too
+    if (other.host == key.host && !told_.contains(other) && worthTelling(other, word)) told_[other] = 0;
   dropPending([&key](const JudgementKey& k, const Pending&) { return k == key; });
 }
 
-// Some more voices than the quorum are enough for all, and the same ones everywhere.
+// Some more voices than the quorum are enough for all, and the same ones everywhere. A suspicion that nobody
+// shares is told by its observer only: a single failure is no news for a whole fleet.
 bool Judgements::worthTelling(const JudgementKey& key, const Judgement& j) const {
+  if (j.verdict == Verdict::suspect && key.observer != own_.name) {
+    const auto shared = [&](const auto& entry) {
+      return entry.first.host == key.host && entry.first.observer != key.observer &&
+             entry.second.verdict != Verdict::well;
+    };
+    if (std::none_of(accepted_.begin(), accepted_.end(), shared)) return false;
+  }
   const auto rank = [](const std::string& name) { return XXH3_64bits(name.data(), name.size()); };
   std::size_t before = 0;
   for (const auto& [k, other] : accepted_)
@@ -225,10 +234,15 @@
   for (auto& [hash, host] : order) out_.insert(std::move(host));
 }
 
+// Its observer tells a word twice as often as the others.
+bool Judgements::due(const std::pair<const JudgementKey, unsigned>& told, unsigned times) const {
+  return told.second < (told.first.observer == own_.name ? 2 * times : times);
+}
+
 std::vector<std::pair<JudgementKey, Judgement>> Judgements::toTell(std::size_t count, unsigned times) const {
   std::vector<std::map<JudgementKey, unsigned>::const_iterator> order;
   for (auto it = told_.begin(); it != told_.end(); ++it)
-    if (it->second < times) order.push_back(it);
+    if (due(*it, times)) order.push_back(it);
   std::stable_sort(order.begin(), order.end(), [](auto a, auto b) { return a->second < b->second; });
   if (order.size() > count) order.resize(count);
   std::vector<std::pair<JudgementKey, Judgement>> out;
@@ -236,7 +250,8 @@
   return out;
 }
 
-// Its observer's own tellings are the first k of n that have it: k / n over 2 / k^2, with a half to spare.
+// Were its observer's own tellings k, the first k of n that have it: k / n over 2 / k^2, with a half to
+// spare.
 unsigned Judgements::timesToTell(std::size_t members) {
   return static_cast<unsigned>(std::ceil(1.5 * std::cbrt(2.0 * static_cast<double>(members))));
 }
@@ -246,7 +261,7 @@
 }
 
 bool Judgements::anythingToTell(unsigned times) const {
-  return std::any_of(told_.begin(), told_.end(), [times](const auto& t) { return t.second < times; });
+  return std::any_of(told_.begin(), told_.end(), [&](const auto& t) { return due(t, times); });
 }
 
 }  // namespace fennelridge::shared
--- a/src/shared/judgements.hpp
+++ b/src/shared/judgements.hpp
@@ -69,7 +69,8 @@
   const std::set<std::string>& out() const { return out_; }  // for all, as seen from here
   std::size_t cap() const { return cap_; }                   // most of them
   const JudgementMap& accepted() const { return accepted_; }
-  // Some that were least told on, `count` at most; each is to be told so many times as `times` says.
+  // Some that were least told on, `count` at most; each is to be told so many times as `times` says, this
+  // gateway's own twice as often.
   std::vector<std::pair<JudgementKey, Judgement>> toTell(std::size_t count, unsigned times) const;
   void told(const JudgementKey& key);  // it went out once
   bool anythingToTell(unsigned times) const;
@@ -97,6 +98,7 @@
   template <class Drop>
   void dropPending(Drop drop);
   bool isOut(const Voices& voices) const;
+  bool due(const std::pair<const JudgementKey, unsigned>& told, unsigned times) const;
   void judge(Time now);
   void decide(const FleetView& view);
 
--- a/tests/shared_test.cpp
+++ b/tests/shared_test.cpp
@@ -547,6 +547,21 @@
   }
 }
 
+TEST(Judgements, ASuspicionThatNobodySharesIsToldByItsObserverOnly) {
+  Panel p;
+  const auto suspects = [&](const std::string& by) {
+    p.j.onHeard(p.now, by, {by, "h3"}, {1, 1, p.now / 1ms, Verdict::suspect, 0, 1});
+  };
+  suspects("g1");
+  EXPECT_TRUE(p.j.toTell(10, 1).empty());
+  suspects("g2");
+  EXPECT_EQ(p.j.toTell(10, 1).size(), 2u) << "both are worth telling then";
+  Panel own;
+  own.j.onOutcome(own.now, "h3", false);
+  own.out();
+  EXPECT_EQ(own.j.toTell(10, 1).size(), 1u);
+}
+
 // A judgement that found no room in a datagram has not been told.
 TEST(Judgements, WhatFoundNoRoomIsToldWithTheNextDatagram) {
   SharedFleet f(2, 5);
