--- a/src/subscription.cpp
+++ b/src/subscription.cpp
@@ -3,9 +3,9 @@
 namespace ochrehill {
 namespace {
 
-// Before the jitter of a half. Danger: what discovery has binds 6 s after it can be reached again, whatever the
-// settings say of asking. Two calls may have been lost to its silence by then, and it may answer two seconds
-// late: see Discovery::Waits for the sum.
+// Before the jitter of a half. Danger: what discovery has binds 6 s after it can be reached again, whatever
+// the settings say of asking. Two calls may have been lost to its silence by then, and it may answer two
+// seconds late: see Discovery::Waits for the sum.
 constexpr Duration kWait = std::chrono::milliseconds(1100);
 
 }  // namespace
