--- a/src/lab/live/gateway_process.cpp
+++ b/src/lab/live/gateway_process.cpp
@@ -61,7 +61,7 @@
       {"discovery", text_of(config_.discovery)},
       {"admin_addr", text_of(config_.admin)},
       {"seed", hex},
-      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 4096}}},
+      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", config_.descriptors}}},
       {"known", known},
       {"settings", settings}}.dump(1);
   std::vector<std::string> variables{"GW_NAME=" + config_.name,
@@ -74,6 +74,7 @@
   if (!config_.fleet.empty()) {
     variables.push_back("GW_FLEET=" + config_.fleet.string());
   }
+  variables.insert(variables.end(), config_.environment.begin(), config_.environment.end());
   std::vector<char*> environment;
   environment.reserve(variables.size());
   for (std::string& v : variables) {
--- a/src/lab/live/gateway_process.hpp
+++ b/src/lab/live/gateway_process.hpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 #include "lab/scenario/scenario.hpp"
 
@@ -22,6 +23,8 @@
     boost::asio::ip::tcp::endpoint listen, admin, discovery;
     std::filesystem::path folder;   // of this gateway only: configuration, log, TMPDIR
     std::filesystem::path fleet{};  // operator file (GW_FLEET); empty: no fleet
+    std::size_t descriptors = 4096;
+    std::vector<std::string> environment{};  // further variables, NAME=VALUE
   };
   // `program` is the path of the gateway executable. Does not start the process.
   GatewayProcess(std::string program, Config config);
--- /dev/null
+++ b/src/lab/soak/client_connection.hpp
@@ -0,0 +1,58 @@
+// One connection of SoakClients to a gateway.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lab/soak/soak_clients.hpp"
+
+namespace gateway::lab {
+
+// How a client behaves during one request.
+struct ClientBehaviour {
+  std::optional<std::chrono::milliseconds> leaves_after;
+  bool writes_slowly = false;
+};
+
+// Carries one request at a time. Kept alive by its owner and by pending operations.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(SoakClients& owner, boost::asio::io_context& io, std::size_t target);
+
+  void send(const std::string& id, const std::string& text, ClientBehaviour behaviour);
+  void close();
+  std::size_t target() const { return target_; }
+  bool is_open() const { return is_open_; }
+
+ private:
+  void write_piece(std::size_t from);
+  void read();
+  void watch_idle();
+  void on_response();
+  void on_failure(const std::string& how);
+  void set_timers();
+
+  SoakClients* owner_;
+  std::size_t target_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timeout_timer_;
+  boost::asio::steady_timer leave_timer_;
+  boost::asio::steady_timer piece_timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+  std::string id_;  // of the request in flight; empty: idle
+  std::string text_;
+  ClientBehaviour behaviour_;
+  bool connected_ = false;
+  bool reused_ = false;
+  bool is_open_ = true;
+};
+
+}  // namespace gateway::lab
--- /dev/null
+++ b/src/lab/soak/faulty_host.cpp
@@ -0,0 +1,66 @@
+#include "lab/soak/faulty_host.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "lab/soak/host_connection.hpp"
+
+namespace gateway::lab {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+FaultyHost::FaultyHost(boost::asio::io_context& io, HostPlan plan, RequestLedger& ledger,
+                       std::uint64_t seed)
+    : io_(io),
+      plan_(std::move(plan)),
+      ledger_(ledger),
+      random_(seed),
+      endpoint_(boost::asio::ip::address_v4::loopback(), 0) {
+  restart();
+}
+
+FaultyHost::~FaultyHost() {
+  crash();
+}
+
+void FaultyHost::restart() {
+  acceptor_.emplace(io_, endpoint_);
+  endpoint_ = acceptor_->local_endpoint();
+  accept();
+}
+
+void FaultyHost::crash() {
+  acceptor_.reset();
+  for (const auto& connection : std::exchange(connections_, {})) {
+    connection->close(true);
+  }
+}
+
+void FaultyHost::accept() {
+  acceptor_->async_accept([this](error_code ec, tcp::socket socket) {
+    if (ec) {
+      return;
+    }
+    ++accepted_;
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto connection = std::make_shared<HostConnection>(*this, std::move(socket));
+    connections_.insert(connection);
+    max_open_ = std::max(max_open_, connections_.size());
+    connection->start();
+    accept();
+  });
+}
+
+void FaultyHost::on_closed(HostConnection* connection) {
+  connections_.erase(connection->shared_from_this());
+}
+
+std::chrono::milliseconds FaultyHost::draw_between(std::chrono::milliseconds low,
+                                                   std::chrono::milliseconds high) {
+  const auto range = static_cast<double>((high - low).count());
+  return low + std::chrono::milliseconds(static_cast<std::int64_t>(unit_(random_) * (range + 1)));
+}
+
+}  // namespace gateway::lab
--- /dev/null
+++ b/src/lab/soak/host_connection.cpp
@@ -0,0 +1,181 @@
+#include "lab/soak/host_connection.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cstdlib>
+#include <limits>
+#include <utility>
+
+namespace gateway::lab {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr milliseconds kTimerTolerance{2};
+
+}  // namespace
+
+HostConnection::HostConnection(FaultyHost& host, tcp::socket socket)
+    : host_(&host),
+      socket_(std::move(socket)),
+      timer_(host.io_),
+      stray_timer_(host.io_),
+      idle_timer_(host.io_) {}
+
+void HostConnection::start() {
+  const StrayPlan& stray = host_->plan_.stray;
+  if (stray.kind == StrayKind::before_request && host_->draw(stray.share)) {
+    send_stray_before_request();
+  }
+  if (host_->draw(host_->plan_.late_accept_share)) {
+    return wait(host_->plan_.accept_delay, &HostConnection::read);
+  }
+  read();
+}
+
+void HostConnection::close(bool with_reset) {
+  if (!is_open_) {
+    return;
+  }
+  is_open_ = false;
+  timer_.cancel();
+  stray_timer_.cancel();
+  idle_timer_.cancel();
+  error_code ignored;
+  if (with_reset) {
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  socket_.close(ignored);
+  if (current_) {
+    host_->ledger_.on_attempt_ended(current_->id, current_->attempt);
+    current_.reset();
+  }
+  host_->on_closed(this);
+}
+
+void HostConnection::read() {
+  watch_idle();
+  parser_.emplace();
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  beast_http::async_read(socket_, buffer_, *parser_,
+                         [self = shared_from_this()](error_code ec, std::size_t) {
+                           if (!self->is_open_) {
+                             return;
+                           }
+                           if (ec) {
+                             return self->close(false);
+                           }
+                           self->on_request();
+                         });
+}
+
+void HostConnection::watch_idle() {
+  if (host_->plan_.idle_timeout <= milliseconds(0)) {
+    return;
+  }
+  idle_timer_.expires_after(host_->plan_.idle_timeout);
+  idle_timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (!ec && self->is_open_ && !self->current_) {
+      self->close(false);
+    }
+  });
+}
+
+void HostConnection::on_request() {
+  idle_timer_.cancel();
+  const auto& request = parser_->get();
+  const std::string id(request["X-Request-Id"]);
+  const milliseconds deadline(std::atoll(std::string(request["X-Deadline-Ms"]).c_str()));
+  const bool is_rejected = host_->draw(host_->plan_.rejected_share);
+  if (host_->closed_from_ && RequestLedger::Clock::now() > *host_->closed_from_) {
+    host_->ledger_.on_sent_to_closed_host(id, host_->plan_.uid);
+  }
+  current_ = CurrentRequest{id, host_->ledger_.on_attempt(id, host_->plan_.uid, host_->plan_.zone,
+                                                          deadline, !is_rejected)};
+  // Detects that the gateway closes the connection while the request is executed.
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+    if (!ec && self->is_open_ && self->current_) {
+      self->close(false);
+    }
+  });
+  if (is_rejected) {
+    last_body_.clear();
+    return respond(response_text(503, "X-Not-Run: 1\r\n", ""));
+  }
+  if (host_->draw(host_->plan_.hang_share)) {
+    return;
+  }
+  wait(host_->draw_between(host_->plan_.min_service, host_->plan_.max_service),
+       &HostConnection::execute);
+}
+
+void HostConnection::execute() {
+  if (host_->draw(host_->plan_.reset_share)) {
+    return close(true);
+  }
+  last_body_ = RequestLedger::body_for(current_->id);
+  std::string text = response_text(200, "", last_body_);
+  const StrayPlan& stray = host_->plan_.stray;
+  if (stray.kind == StrayKind::same_write && host_->draw(stray.share)) {
+    text += stray_text(stray.kind, last_body_);
+    ++host_->strays_sent_;
+  }
+  respond(text);
+}
+
+void HostConnection::respond(const std::string& text) {
+  host_->ledger_.on_attempt_ended(current_->id, current_->attempt);
+  current_.reset();
+  error_code ignored;
+  socket_.cancel(ignored);  // of the wait for the gateway's close
+  write(text);
+  schedule_stray();
+  read();
+}
+
+void HostConnection::schedule_stray() {
+  const StrayPlan& stray = host_->plan_.stray;
+  if (stray.kind == StrayKind::none || stray.kind == StrayKind::same_write ||
+      stray.kind == StrayKind::before_request || last_body_.empty() || !host_->draw(stray.share)) {
+    return;
+  }
+  stray_ = stray_text(stray.kind, last_body_);
+  const auto latest = asio::steady_timer::clock_type::now() + stray.max_delay;
+  stray_timer_.expires_after(host_->draw_between(stray.min_delay, stray.max_delay));
+  stray_timer_.async_wait([self = shared_from_this(), latest](error_code ec) {
+    // On a busy machine the timer may be late: what comes later than planned is not written.
+    if (ec || !self->is_open_ || asio::steady_timer::clock_type::now() > latest + kTimerTolerance) {
+      return;
+    }
+    ++self->host_->strays_sent_;
+    self->write(self->stray_);
+  });
+}
+
+void HostConnection::send_stray_before_request() {
+  ++host_->strays_sent_;
+  write(stray_text(StrayKind::before_request, "response to nothing"));
+}
+
+void HostConnection::wait(milliseconds delay, void (HostConnection::*then)()) {
+  timer_.expires_after(delay);
+  timer_.async_wait([self = shared_from_this(), then](error_code ec) {
+    if (!ec && self->is_open_) {
+      (self.get()->*then)();
+    }
+  });
+}
+
+void HostConnection::write(const std::string& text) {
+  const auto bytes = std::make_shared<std::string>(text);
+  asio::async_write(socket_, asio::buffer(*bytes),
+                    [self = shared_from_this(), bytes](error_code, std::size_t) {});
+}
+
+}  // namespace gateway::lab
--- /dev/null
+++ b/src/lab/soak/request_ledger.cpp
@@ -0,0 +1,164 @@
+#include "lab/soak/request_ledger.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+namespace gateway::lab {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMaxExamples = 20;
+// An attempt may begin this long after its client closed the connection.
+constexpr milliseconds kGoneClientSlack{100};
+// The deadline of an attempt may be this much later than its client's.
+constexpr milliseconds kDeadlineSlack{150};
+constexpr int kStatusOk = 200;
+
+double seconds_between(RequestLedger::Time from, RequestLedger::Time to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+std::string one_line(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c == '\r' || c == '\n'; }, ' ');
+  return text;
+}
+
+const char* name_of(Effect effect) {
+  switch (effect) {
+    case Effect::safe:
+      return "safe";
+    case Effect::keyed:
+      return "keyed";
+    case Effect::unsafe:
+      return "unsafe";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+const char* name_of(Violation violation) {
+  switch (violation) {
+    case Violation::foreign_response:
+      return "foreign_response";
+    case Violation::unsafe_repeated:
+      return "unsafe_repeated";
+    case Violation::keyed_repeated:
+      return "keyed_repeated";
+    case Violation::attempts_overlap:
+      return "attempts_overlap";
+    case Violation::no_response:
+      return "no_response";
+    case Violation::sent_for_gone_client:
+      return "sent_for_gone_client";
+    case Violation::deadline_too_long:
+      return "deadline_too_long";
+    case Violation::sent_to_closed_host:
+      return "sent_to_closed_host";
+  }
+  return "unknown";
+}
+
+void RequestLedger::on_sent(const std::string& id, Effect effect, milliseconds timeout) {
+  Request& request = requests_[id];
+  request.effect = effect;
+  request.sent = Clock::now();
+  request.timeout = timeout;
+}
+
+void RequestLedger::on_response(const std::string& id, int status, const std::string& body) {
+  Request& request = requests_.at(id);
+  request.is_answered = true;
+  request.status = status;
+  ++responses_[status];
+  if (status == kStatusOk && (body != body_for(id) || request.executions == 0)) {
+    record(
+        Violation::foreign_response, id,
+        "got '" + one_line(body) + "', executed " + std::to_string(request.executions) + " times");
+  }
+}
+
+void RequestLedger::on_no_response(const std::string& id, const std::string& how) {
+  record(Violation::no_response, id, how);
+}
+
+void RequestLedger::on_client_closed(const std::string& id) {
+  Request& request = requests_.at(id);
+  request.client_gone = true;
+  request.gone_at = Clock::now();
+}
+
+std::size_t RequestLedger::on_attempt(const std::string& id, const std::string& host,
+                                      const std::string& zone, milliseconds deadline,
+                                      bool executes) {
+  Request& request = requests_[id];
+  const Time now = Clock::now();
+  for (const Attempt& earlier : request.attempts) {
+    if (earlier.in_flight) {
+      record(Violation::attempts_overlap, id, earlier.host + " and " + host);
+    }
+  }
+  retries_ += request.attempts.empty() ? 0 : 1;
+  request.attempts.push_back({host, zone, now, true});
+  if (executes) {
+    ++request.executions;
+    std::set<std::string> groups;
+    for (const Attempt& attempt : request.attempts) {
+      groups.insert(attempt.zone);
+    }
+    if (request.effect == Effect::unsafe && request.executions > 1) {
+      record(Violation::unsafe_repeated, id, "again at " + host);
+    }
+    if (request.effect == Effect::keyed && request.executions > 1 && groups.size() > 1) {
+      record(Violation::keyed_repeated, id, "again at " + host + " in " + zone);
+    }
+  }
+  if (request.client_gone && now - request.gone_at > kGoneClientSlack) {
+    record(Violation::sent_for_gone_client, id,
+           host + " " + std::to_string(seconds_between(request.gone_at, now)) + " s after");
+  }
+  const auto remaining =
+      std::chrono::duration_cast<milliseconds>(request.sent + request.timeout - now);
+  if (deadline > remaining + kDeadlineSlack) {
+    record(Violation::deadline_too_long, id,
+           std::to_string(deadline.count()) + " ms of " + std::to_string(remaining.count()));
+  }
+  return request.attempts.size() - 1;
+}
+
+void RequestLedger::on_attempt_ended(const std::string& id, std::size_t attempt) {
+  requests_.at(id).attempts.at(attempt).in_flight = false;
+}
+
+void RequestLedger::on_sent_to_closed_host(const std::string& id, const std::string& host) {
+  record(Violation::sent_to_closed_host, id, host);
+}
+
+std::size_t RequestLedger::responses(int status) const {
+  const auto entry = responses_.find(status);
+  return entry == responses_.end() ? 0 : entry->second;
+}
+
+std::size_t RequestLedger::violations() const {
+  std::size_t total = 0;
+  for (const std::size_t count : counts_) {
+    total += count;
+  }
+  return total;
+}
+
+void RequestLedger::record(Violation violation, const std::string& id, const std::string& detail) {
+  ++counts_[static_cast<std::size_t>(violation)];
+  if (examples_.size() >= kMaxExamples) {
+    return;
+  }
+  char second[32];
+  std::snprintf(second, sizeof second, "%.3f", seconds_between(start_, Clock::now()));
+  examples_.push_back(std::string(second) + " " + name_of(violation) + " " + id + " (" +
+                      name_of(requests_[id].effect) + ") " + detail);
+}
+
+}  // namespace gateway::lab
--- /dev/null
+++ b/src/lab/soak/soak_clients.cpp
@@ -0,0 +1,160 @@
+#include "lab/soak/soak_clients.hpp"
+
+#include <cstdio>
+#include <utility>
+
+#include "lab/soak/client_connection.hpp"
+
+namespace gateway::lab {
+namespace {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{1};
+// A request that came this long after SIGTERM may be lost by the SIGKILL.
+constexpr milliseconds kStopGrace{700};
+
+}  // namespace
+
+const std::vector<SoakClass>& soak_classes() {
+  static const std::vector<SoakClass> classes{
+      {"status", Effect::safe}, {"consent", Effect::keyed}, {"seal", Effect::unsafe}};
+  return classes;
+}
+
+SoakClients::SoakClients(boost::asio::io_context& io, ClientPlan plan,
+                         std::vector<ClientTarget>& targets, RequestLedger& ledger,
+                         std::uint64_t seed)
+    : io_(io),
+      plan_(plan),
+      targets_(targets),
+      ledger_(ledger),
+      random_(seed),
+      timer_(io),
+      idle_(targets.size()) {}
+
+SoakClients::~SoakClients() {
+  for (const auto& connection : std::exchange(all_, {})) {
+    connection->close();
+  }
+}
+
+void SoakClients::start() {
+  start_ = RequestLedger::Clock::now();
+  send_due();
+}
+
+void SoakClients::send_due() {
+  const double elapsed =
+      std::chrono::duration<double>(RequestLedger::Clock::now() - start_).count();
+  while (sent_ < plan_.requests && static_cast<double>(sent_) < elapsed * plan_.rate) {
+    ++sent_;
+    send_one();
+  }
+  if (sent_ >= plan_.requests) {
+    return;
+  }
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](error_code ec) {
+    if (!ec) {
+      send_due();
+    }
+  });
+}
+
+// A gateway that was told to stop gets requests only on connections that are open.
+std::optional<std::size_t> SoakClients::choose_target() {
+  std::vector<std::size_t> candidates;
+  for (std::size_t i = 0; i < targets_.size(); ++i) {
+    if (!targets_[i].killed && (targets_[i].accepts || !idle_[i].empty())) {
+      candidates.push_back(i);
+    }
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return candidates[random_() % candidates.size()];
+}
+
+std::shared_ptr<ClientConnection> SoakClients::take_idle(std::size_t target) {
+  auto& idle = idle_[target];
+  if (idle.empty()) {
+    return nullptr;
+  }
+  auto connection = idle.back();
+  idle.pop_back();
+  return connection;
+}
+
+std::string SoakClients::make_request(std::string& id) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(random_()));
+  id = text;
+  const SoakClass& request_class = soak_classes()[random_() % soak_classes().size()];
+  ledger_.on_sent(id, request_class.effect, plan_.timeout);
+  const bool is_safe = request_class.effect == Effect::safe;
+  std::string out = (is_safe ? "GET /" : "POST /") + request_class.name + "/1 HTTP/1.1\r\n";
+  out += "Host: soak\r\nX-Class: " + request_class.name + "\r\nX-Request-Id: " + id + "\r\n";
+  out += "X-Deadline-Ms: " + std::to_string(plan_.timeout.count()) + "\r\n";
+  if (request_class.effect == Effect::keyed) {
+    out += "Idempotency-Key: key-" + id + "\r\n";
+  }
+  if (is_safe) {
+    return out + "\r\n";
+  }
+  const std::string body = "document " + id;
+  return out + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void SoakClients::send_one() {
+  const auto target = choose_target();
+  if (!target) {
+    ++unreachable_;
+    return;
+  }
+  ++in_flight_;
+  ClientBehaviour behaviour;
+  behaviour.writes_slowly = draw(plan_.slow_share);
+  if (draw(plan_.leaving_share)) {
+    behaviour.leaves_after = milliseconds(
+        1 + static_cast<int>(unit_(random_) * 0.1 * static_cast<double>(plan_.timeout.count())));
+  }
+  auto connection = take_idle(*target);
+  if (!connection) {
+    connection = std::make_shared<ClientConnection>(*this, io_, *target);
+    all_.insert(connection);
+  }
+  std::string id;
+  const std::string text = make_request(id);
+  connection->send(id, text, behaviour);
+}
+
+// A close that crosses a request which the gateway has not read is no loss: the client repeats the
+// request once on a new connection.
+void SoakClients::on_closed_without_response(const std::string& id, const std::string& text,
+                                             std::size_t target, bool reused,
+                                             const std::string& how) {
+  ClientTarget& gateway = targets_[target];
+  const bool is_excused =
+      gateway.stopped_at && ledger_.sent_at(id) > *gateway.stopped_at + kStopGrace;
+  const bool may_repeat = reused && !ledger_.was_attempted(id) && how != "no response in time" &&
+                          resent_ids_.insert(id).second;
+  if (may_repeat) {
+    const auto other = choose_target();
+    if (other && targets_[*other].accepts) {
+      ++resent_;
+      auto connection = std::make_shared<ClientConnection>(*this, io_, *other);
+      all_.insert(connection);
+      ledger_.on_sent_again(id);
+      return connection->send(id, text, {});
+    }
+  }
+  on_finished();
+  if (is_excused && gateway.killed) {
+    return;
+  }
+  ledger_.on_no_response(id, how + (reused ? " (reused connection)" : " (new connection)"));
+}
+
+}  // namespace gateway::lab
--- /dev/null
+++ b/src/lab/soak/soak_run.cpp
@@ -0,0 +1,220 @@
+#include "lab/soak/soak_run.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "lab/live/gateway_process.hpp"
+#include "lab/soak/discovery_server.hpp"
+
+namespace gateway::lab {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using tcp = asio::ip::tcp;
+
+constexpr milliseconds kPollInterval{20};
+constexpr milliseconds kReadyTimeout{10000};
+// Requests that are still open this long after the last one was sent end the run.
+constexpr milliseconds kDrainTimeout{8000};
+constexpr std::int64_t kNanosPerMilli = 1'000'000;
+
+json class_settings(const SoakClass& request_class, milliseconds timeout) {
+  const char* effect = "retryable";
+  if (request_class.effect == Effect::keyed) {
+    effect = "dedup";
+  } else if (request_class.effect == Effect::unsafe) {
+    effect = "fragile";
+  }
+  return {{"name", request_class.name},
+          {"effect", effect},
+          {"group", "zone"},
+          {"aimNs", timeout.count() * kNanosPerMilli / 2},
+          {"giveUpNs", timeout.count() * kNanosPerMilli},
+          {"windowNs", 15'000 * kNanosPerMilli},
+          {"lateShare", 0.5},
+          {"points", 1.0}};
+}
+
+json gateway_settings(const SoakPlan& plan, std::size_t index) {
+  json grades = json::array();
+  for (const SoakClass& request_class : soak_classes()) {
+    grades.push_back(class_settings(request_class, plan.clients.timeout));
+  }
+  const std::int64_t idle_ms =
+      plan.host.idle_timeout.count() > 0 ? plan.host.idle_timeout.count() : 60'000;
+  return {{"groupSize", plan.gateways},
+          {"myNumber", index},
+          {"zone", "a"},
+          {"registryMode", "ask"},
+          {"stepNs", 5 * kNanosPerMilli},
+          {"ceilings",
+           {{"parallelTries", plan.allow_hedging},
+            {"cancel", true},
+            {"retryAfter", true},
+            {"maxAttempts", 4},
+            {"connectTimeoutNs", 500 * kNanosPerMilli},
+            {"idleCloseNs", idle_ms * kNanosPerMilli},
+            {"maxRetryAfterNs", 1'000 * kNanosPerMilli}}},
+          {"rules",
+           {{"askWithinNs", 2'000 * kNanosPerMilli},
+            {"coldNs", 9'000 * kNanosPerMilli},
+            {"coldShare", 0.32},
+            {"fallMultiple", 3.0},
+            {"fallNs", 2'000 * kNanosPerMilli}}},
+          {"grades", grades}};
+}
+
+json list_entry(const FaultyHost& host, const std::string& state) {
+  return {{"uid", host.plan().uid}, {"endpoint", text_of(host.endpoint())},
+          {"az", host.plan().zone}, {"model", "m"},
+          {"pod_group", 0},         {"state", state},
+          {"capacity_hint", 1.0},   {"boot_ms", 0}};
+}
+
+// Owns everything that takes part in a run.
+class SoakRun {
+ public:
+  SoakRun(const std::string& program, const SoakPlan& plan, const std::filesystem::path& folder)
+      : plan_(plan) {
+    for (std::size_t i = 0; i < plan.hosts; ++i) {
+      add_host(i);
+    }
+    for (std::size_t i = 0; i < plan.gateways; ++i) {
+      add_gateway(program, folder, i);
+    }
+  }
+
+  SoakResult run() {
+    if (wait_until_ready()) {
+      clients_.emplace(io_, plan_.clients, targets_, result_.ledger, plan_.seed);
+      clients_->start();
+      run_clients();
+    }
+    collect();
+    clients_.reset();
+    stop_gateways();
+    return std::move(result_);
+  }
+
+ private:
+  void add_host(std::size_t index) {
+    HostPlan host = plan_.host;
+    host.uid = "s-" + std::to_string(index);
+    host.zone = index % 2 == 0 ? "a" : "b";
+    hosts_.push_back(
+        std::make_unique<FaultyHost>(io_, host, result_.ledger, plan_.seed * 1000 + index));
+    discovery_.set_host(host.uid, list_entry(*hosts_.back(), "SERVING"));
+  }
+
+  void add_gateway(const std::string& program, const std::filesystem::path& folder,
+                   std::size_t index) {
+    GatewayProcess::Config config;
+    config.name = "n" + std::to_string(index);
+    config.listen = free_address();
+    config.admin = free_address();
+    config.discovery = discovery_.endpoint();
+    config.folder = folder / config.name;
+    config.descriptors = plan_.descriptors;
+    config.environment = plan_.environment;
+    targets_.push_back({config.listen, true, false, std::nullopt});
+    gateways_.push_back(std::make_unique<GatewayProcess>(program, config));
+    gateways_.back()->start(gateway_settings(plan_, index), discovery_.list(),
+                            plan_.seed * 100 + index);
+  }
+
+  void run_for(milliseconds time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  bool is_up(const tcp::endpoint& address) {
+    asio::io_context io;
+    tcp::socket socket(io);
+    error_code ec;
+    socket.connect(address, ec);
+    if (ec) {
+      return false;
+    }
+    asio::write(socket, asio::buffer(std::string(GatewayProcess::kReadinessRequest)), ec);
+    std::string response(12, '\0');
+    asio::read(socket, asio::buffer(response), ec);
+    return !ec && response == "HTTP/1.1 200";
+  }
+
+  bool wait_until_ready() {
+    const auto end = RequestLedger::Clock::now() + kReadyTimeout;
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+      while (!is_up(targets_[i].endpoint)) {
+        if (RequestLedger::Clock::now() > end || !gateways_[i]->running()) {
+          result_.process_failures.push_back(gateways_[i]->not_ready_message());
+          return false;
+        }
+        run_for(kPollInterval);
+      }
+    }
+    return true;
+  }
+
+  void run_clients() {
+    const auto sending = milliseconds(static_cast<std::int64_t>(
+        1000.0 * static_cast<double>(plan_.clients.requests) / plan_.clients.rate));
+    const auto end = RequestLedger::Clock::now() + sending + kDrainTimeout;
+    while (!clients_->is_done() && RequestLedger::Clock::now() < end) {
+      run_for(kPollInterval);
+    }
+  }
+
+  void collect() {
+    for (const auto& host : hosts_) {
+      result_.strays_sent += host->strays_sent();
+      result_.connections_to_hosts += host->accepted_connections();
+      result_.max_open_connections += host->max_open_connections();
+    }
+    for (const auto& gateway : gateways_) {
+      result_.gateway_cpu_seconds += gateway->cpu_seconds();
+      if (!gateway->running() && gateway->died()) {
+        result_.process_failures.push_back("gateway " + gateway->config().name + " died");
+      }
+    }
+  }
+
+  void stop_gateways() {
+    for (const auto& gateway : gateways_) {
+      gateway->kill(SIGTERM);
+    }
+    const auto end = RequestLedger::Clock::now() + kReadyTimeout;
+    for (const auto& gateway : gateways_) {
+      while (gateway->running() && RequestLedger::Clock::now() < end) {
+        run_for(kPollInterval);
+      }
+    }
+  }
+
+  SoakPlan plan_;
+  SoakResult result_;
+  asio::io_context io_;
+  DiscoveryServer discovery_{io_};
+  std::vector<std::unique_ptr<FaultyHost>> hosts_;
+  std::vector<std::unique_ptr<GatewayProcess>> gateways_;
+  std::vector<ClientTarget> targets_;
+  std::optional<SoakClients> clients_;
+};
+
+}  // namespace
+
+SoakResult run_soak(const std::string& program, const SoakPlan& plan,
+                    const std::filesystem::path& folder) {
+  return SoakRun(program, plan, folder).run();
+}
+
+}  // namespace gateway::lab
--- /dev/null
+++ b/src/lab/soak/soak_run.hpp
@@ -0,0 +1,42 @@
+// A run of real gateway processes, faulty hosts, discovery and clients on loopback.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "lab/soak/faulty_host.hpp"
+#include "lab/soak/request_ledger.hpp"
+#include "lab/soak/soak_clients.hpp"
+
+namespace gateway::lab {
+
+struct SoakPlan {
+  std::uint64_t seed = 1;
+  std::size_t gateways = 1;
+  std::size_t hosts = 6;  // in two zones, alternately
+  std::size_t descriptors = 1024;
+  bool allow_hedging = false;
+  ClientPlan clients;
+  HostPlan host;  // of each host, apart from `uid` and `zone`
+  // Further environment variables of the gateways, NAME=VALUE.
+  std::vector<std::string> environment;
+};
+
+struct SoakResult {
+  RequestLedger ledger;
+  std::size_t strays_sent = 0;
+  std::size_t connections_to_hosts = 0;       // opened over the whole run
+  std::size_t max_open_connections = 0;       // the sum of each host's highest number
+  double gateway_cpu_seconds = 0;             // of all gateways
+  std::vector<std::string> process_failures;  // a gateway was not ready or ended by itself
+};
+
+// Runs `program`, the gateway executable, until each request has its result. `folder` gets the
+// gateways' configurations and logs and is created.
+SoakResult run_soak(const std::string& program, const SoakPlan& plan,
+                    const std::filesystem::path& folder);
+
+}  // namespace gateway::lab
--- /dev/null
+++ b/tests/lab/stray_response_test.cpp
@@ -0,0 +1,114 @@
+// Gateway processes in front of hosts that write bytes which belong to no request. Incident 06400d:
+// clients got responses to other requests, and unsafe requests ran twice.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <ostream>
+
+#include "lab/soak/soak_run.hpp"
+
+namespace gateway::lab {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Scales the number of requests of each case; the default keeps the test short.
+std::size_t scaled_requests(std::size_t requests) {
+  const char* factor = std::getenv("STRAY_TEST_SCALE");
+  return factor ? requests * static_cast<std::size_t>(std::atoi(factor)) : requests;
+}
+
+struct StrayCase {
+  const char* name;
+  StrayKind kind;
+  double share;
+  milliseconds min_delay;
+  milliseconds max_delay;
+  double rate;
+};
+
+std::ostream& operator<<(std::ostream& out, const StrayCase& stray_case) {
+  return out << stray_case.name;
+}
+
+SoakPlan plan_for(const StrayCase& stray_case) {
+  SoakPlan plan;
+  plan.clients.rate = stray_case.rate;
+  plan.clients.requests = scaled_requests(static_cast<std::size_t>(stray_case.rate * 5));
+  plan.host.rejected_share = 0.03;
+  plan.host.stray = {stray_case.kind, stray_case.share, stray_case.min_delay, stray_case.max_delay};
+  return plan;
+}
+
+SoakResult run(const SoakPlan& plan) {
+  const auto folder =
+      std::filesystem::path(::testing::TempDir()) / ("stray-" + std::to_string(getpid()));
+  SoakResult result = run_soak(GATEWAY_PROGRAM, plan, folder);
+  std::filesystem::remove_all(folder);
+  return result;
+}
+
+std::string report(const SoakResult& result) {
+  std::string text = std::to_string(result.ledger.requests()) + " requests, " +
+                     std::to_string(result.ledger.responses(200)) + " served, " +
+                     std::to_string(result.ledger.retries()) + " retries, " +
+                     std::to_string(result.strays_sent) + " strays, " +
+                     std::to_string(result.connections_to_hosts) + " connections (at most " +
+                     std::to_string(result.max_open_connections) + " open), CPU " +
+                     std::to_string(result.gateway_cpu_seconds) + " s;";
+  for (std::size_t i = 0; i < kViolations; ++i) {
+    const auto violation = static_cast<Violation>(i);
+    text += std::string(" ") + name_of(violation) + "=" +
+            std::to_string(result.ledger.count(violation));
+  }
+  for (const std::string& example : result.ledger.examples()) {
+    text += "\n  " + example;
+  }
+  return text;
+}
+
+class StrayResponse : public ::testing::TestWithParam<StrayCase> {};
+
+// Guards against taking bytes that a host wrote for an earlier request, or for none, as the
+// response to the next request on that connection.
+TEST_P(StrayResponse, IsNeverTakenAsResponseToAnotherRequest) {
+  const SoakPlan plan = plan_for(GetParam());
+  const SoakResult result = run(plan);
+  RecordProperty("report", report(result));
+  if (std::getenv("STRAY_TEST_SCALE")) {
+    std::cout << GetParam().name << ": " << report(result) << std::endl;
+  }
+  EXPECT_TRUE(result.process_failures.empty()) << result.process_failures.front();
+  EXPECT_EQ(result.ledger.requests(), plan.clients.requests);
+  EXPECT_EQ(result.ledger.violations(), 0u) << report(result);
+  if (GetParam().kind != StrayKind::none) {
+    EXPECT_GT(result.strays_sent, 0u);
+  }
+  // Retries stay in use: the hosts reject 3 % of the requests.
+  EXPECT_GT(result.ledger.retries(), 0u);
+  EXPECT_GT(result.ledger.responses(200), plan.clients.requests * 8 / 10) << report(result);
+}
+
+constexpr milliseconds k1{1};
+constexpr milliseconds k100{100};
+INSTANTIATE_TEST_SUITE_P(
+    Hosts, StrayResponse,
+    ::testing::Values(StrayCase{"none_100", StrayKind::none, 0, k1, k1, 100},
+                      StrayCase{"ok_100", StrayKind::ok, 0.1, k1, k100, 100},
+                      StrayCase{"ok_600", StrayKind::ok, 0.05, k1, k100, 600},
+                      StrayCase{"server_error_100", StrayKind::server_error, 0.1, k1, k100, 100},
+                      StrayCase{"unavailable_100", StrayKind::unavailable, 0.1, k1, k100, 100},
+                      StrayCase{"not_run_100", StrayKind::unavailable_not_run, 0.2, k1, k100, 100},
+                      StrayCase{"not_run_600", StrayKind::unavailable_not_run, 0.05, k1, k100, 600},
+                      StrayCase{"interim_100", StrayKind::interim, 0.1, k1, k100, 100},
+                      StrayCase{"half_response_100", StrayKind::half_response, 0.1, k1, k100, 100},
+                      StrayCase{"same_write_100", StrayKind::same_write, 0.1, k1, k1, 100},
+                      StrayCase{"before_request_100", StrayKind::before_request, 0.2,
+                                milliseconds(0), milliseconds(0), 100},
+                      StrayCase{"before_request_600", StrayKind::before_request, 0.2,
+                                milliseconds(0), milliseconds(0), 600}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace gateway::lab
