--- a/include/load_balancer/actions.hpp
+++ b/include/load_balancer/actions.hpp
@@ -22,17 +22,29 @@
   Duration must_start_within = Duration::max();
 };
 
+// Why a request ended without a response of a host.
+enum class EndReason {
+  below_threshold,      // its priority score is below the shedding threshold
+  no_attempt_possible,  // no host may be used, or no response in time is possible
+  attempts_exhausted,   // the last attempt failed and another is not possible
+  key_queue_too_long,   // the requests before it with the same key would make it late
+  deadline,             // no response came in time
+  invalid_request       // a host found the request invalid
+};
+
 // Respond to the client that the request was rejected. A retry is safe: no attempt can have run at
 // its host, or the class is idempotent, or it is deduplicated by all hosts and no attempt is in
 // flight.
 struct RejectRequest {
   RequestId request = 0;
   Duration retry_after{};  // wait before a retry that the client is asked for; zero: none
+  EndReason reason = EndReason::below_threshold;
 };
 
 // Respond to the client with an error. The request may have had an effect.
 struct FailRequest {
   RequestId request = 0;
+  EndReason reason = EndReason::attempts_exhausted;
 };
 
 // Cancel an attempt. Its result is still reported, as for every attempt.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,7 +38,7 @@
 }  // namespace
 
 Gateway::Gateway(asio::io_context& io, const config::Config& config, const Overrides& overrides,
-                 std::function<void(std::string)> log)
+                 event_log::EventLog& log)
     : clock_(overrides.clock ? overrides.clock : std::make_shared<runtime::SystemClock>(io)),
       start_(clock_->now()),
       unix_start_(std::chrono::system_clock::now()),
@@ -46,21 +46,23 @@
       config_(config),
       overrides_(overrides),
       request_mapper_(config.balancer_settings),
-      log_(std::move(log)),
+      log_(log),
       balancer_(config.balancer_settings, now()),
+      events_(log, balancer_),
       upstream_pool_(
           io, upstream_limits(config, ProcessRole::sole),
           [this](http::AttemptCompletion completion) {
             pending_completions_.push_back(std::move(completion));
             execute_actions();
           },
-          buffer_budget_),
+          events_, buffer_budget_),
       discovery_(io, *clock_, config.discovery,
                  {[this](const discovery::EndpointList& list) {
                     on_endpoint_update(
                         list, list.full ? EndpointUpdateKind::snapshot : EndpointUpdateKind::delta);
                   },
                   [this] {
+                    events_.on_discovery_failed();
                     balancer_.on_endpoint_update(now(), EndpointUpdateKind::unavailable, {});
                     execute_actions();
                     if (socket_is_shared_ && upstream_pool_.hosts() > 0) {
@@ -76,8 +78,9 @@
                        client_limits(config, overrides.clients, ProcessRole::sole),
                        {[this](http::ClientRequest request) { on_request(std::move(request)); },
                         [this](http::ExchangeId exchange) { on_body_complete(exchange); },
-                        [this](http::ExchangeId exchange) {
-                          on_client_disconnected(exchange);
+                        [this](http::ExchangeId exchange) { on_client_disconnected(exchange); },
+                        [this](http::ClientCloseReason reason, bool unanswered) {
+                          events_.on_client_connection_closed(reason, unanswered);
                         }},
                        buffer_budget_) {
   apply_limits();
@@ -121,6 +124,7 @@
 // --- Events ---
 
 void Gateway::on_endpoint_update(const discovery::EndpointList& list, EndpointUpdateKind kind) {
+  events_.on_endpoint_list(list, kind);
   std::vector<load_balancer::Endpoint> endpoints;
   for (const discovery::ListedEndpoint& listed : list.hosts) {
     endpoints.push_back(to_endpoint(listed));
@@ -201,18 +205,22 @@
   }
   RequestMapper::Result mapped = request_mapper_.map(message);
   if (const auto* const error = std::get_if<beast_http::status>(&mapped)) {
+    events_.on_request_answered("invalid", static_cast<unsigned>(*error));
     return client_listener_.respond(request.exchange, empty_response(*error));
   }
   auto& balancer_request = std::get<load_balancer::Request>(mapped);
   // Forwarding a request with the id of an active request could execute the request twice.
   std::string request_id = message["X-Request-Id"].to_string();
   if (!active_request_ids_.insert(request_id).second) {
+    events_.on_request_answered("id_in_use", static_cast<unsigned>(beast_http::status::conflict));
     return client_listener_.respond(request.exchange, empty_response(beast_http::status::conflict));
   }
   const string_view tenant = message["X-Tenant"];
   if (fleet_hooks_ && !fleet_hooks_->try_admit(settings_.classes[balancer_request.class_index].name,
                                                std::string_view(tenant.data(), tenant.size()))) {
     active_request_ids_.erase(request_id);
+    events_.on_request_answered("fleet_limit",
+                                static_cast<unsigned>(beast_http::status::too_many_requests));
     return client_listener_.respond(request.exchange,
                                     empty_response(beast_http::status::too_many_requests));
   }
@@ -227,6 +235,7 @@
   proxied.body = std::move(request.body);
   proxied.request_id = std::move(request_id);
   request_by_exchange_.emplace(request.exchange, balancer_request.id);
+  events_.on_request(proxied, settings_.classes[balancer_request.class_index].name);
   balancer_.on_request(now(), balancer_request);
   execute_actions();
 }
@@ -248,6 +257,7 @@
   const RequestId id = entry->second;
   request_by_exchange_.erase(entry);
   requests_.at(id).ended = true;
+  events_.on_client_disconnected(requests_.at(id));
   removal_candidates_.push_back(id);
   balancer_.on_client_disconnected(now(), id);
   cancel_unsent(id);
@@ -261,6 +271,8 @@
   }
   ProxiedRequest& request = entry->second;
   --request.attempts_in_flight;
+  request.last_outcome = completion.outcome;
+  events_.on_attempt_finished(request, completion);
   removal_candidates_.push_back(completion.key.request);
   if (completion.outcome == AttemptOutcome::success && !request.ended) {
     remove_hop_by_hop_fields(completion.response);
@@ -380,7 +392,7 @@
           [this](const load_balancer::ForgetHost& forget) { upstream_pool_.forget(forget.host); },
           [this](const load_balancer::ScheduleWakeup& wakeup) { schedule_wakeup(wakeup.at); },
           [this](const load_balancer::PollEndpoints&) { discovery_.watch(); },
-          [this](const load_balancer::LogMessage& message) { log_(message.text); },
+          [this](const load_balancer::LogMessage& message) { log_.write_line(message.text); },
       },
       action);
 }
@@ -403,6 +415,7 @@
     pending_completions_.push_back(std::move(unsent));
     return;
   }
+  events_.on_attempt_sent(request, action);
   if (fleet_hooks_ && action.attempt > 0) {
     fleet_hooks_->on_retry_sent();
     if (retry_allowance_ > 0) {
@@ -431,14 +444,22 @@
                   std::chrono::duration<double>(rejection.retry_after).count());
     response.set(beast_http::field::retry_after, text.data());
   }
-  reject_or_fail(rejection.request, std::move(response));
+  if (const auto request = requests_.find(rejection.request);
+      request != requests_.end() && !request->second.ended) {
+    events_.on_rejected(request->second, rejection.reason);
+  }
+  end_without_response(rejection.request, std::move(response));
 }
 
 void Gateway::fail(const load_balancer::FailRequest& failure) {
-  reject_or_fail(failure.request, empty_response(beast_http::status::bad_gateway));
+  if (const auto request = requests_.find(failure.request);
+      request != requests_.end() && !request->second.ended) {
+    events_.on_failed(request->second, failure.reason);
+  }
+  end_without_response(failure.request, empty_response(beast_http::status::bad_gateway));
 }
 
-void Gateway::reject_or_fail(RequestId id, http::HttpResponse response) {
+void Gateway::end_without_response(RequestId id, http::HttpResponse response) {
   const auto position = requests_.find(id);
   if (position == requests_.end() || position->second.ended) {
     return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -17,6 +17,8 @@
 
 #include "config/config.hpp"
 #include "discovery/discovery_client.hpp"
+#include "event_log/event_log.hpp"
+#include "gateway/event_recorder.hpp"
 #include "gateway/fleet_hooks.hpp"
 #include "gateway/proxied_request.hpp"
 #include "gateway/request_mapping.hpp"
@@ -50,11 +52,11 @@
     std::shared_ptr<runtime::Clock> clock;
   };
 
-  /// Listens and polls discovery at once. `log` gets the balancer's log lines. Throws
+  /// Listens and polls discovery at once. `log` must outlive the gateway. Throws
   /// boost::system::system_error if it can't listen, std::invalid_argument if the passed descriptor
   /// is no listening socket or a setting of the balancer is invalid.
   Gateway(boost::asio::io_context& io, const config::Config& config, const Overrides& overrides,
-          std::function<void(std::string)> log);
+          event_log::EventLog& log);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -125,7 +127,7 @@
   void send(const load_balancer::SendAttempt& action);
   void reject(const load_balancer::RejectRequest& rejection);
   void fail(const load_balancer::FailRequest& failure);
-  void reject_or_fail(load_balancer::RequestId id, http::HttpResponse response);
+  void end_without_response(load_balancer::RequestId id, http::HttpResponse response);
   void on_attempt_finished(http::AttemptCompletion completion);
   void respond(ProxiedRequest& request, http::HttpResponse response,
                std::shared_ptr<http::BodyStream> stream = nullptr);
@@ -139,8 +141,9 @@
   config::Config config_;  // the latest one; its limits and known hosts are in use
   Overrides overrides_;
   RequestMapper request_mapper_;
-  std::function<void(std::string)> log_;
+  event_log::EventLog& log_;
   load_balancer::Balancer balancer_;
+  EventRecorder events_;
   std::shared_ptr<http::BufferBudget> buffer_budget_ = std::make_shared<http::BufferBudget>();
   http::UpstreamPool upstream_pool_;
   discovery::DiscoveryClient discovery_;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -12,6 +12,8 @@
 #include "admin/admin_service.hpp"
 #include "admin/marker_file_name.hpp"
 #include "config/config.hpp"
+#include "event_log/event_log.hpp"
+#include "event_log/log_settings.hpp"
 #include "fleet_agent/fleet_agent.hpp"
 #include "fleet_agent/operator_file.hpp"
 #include "gateway/gateway.hpp"
@@ -22,37 +24,36 @@
 constexpr int kFailed = 1;
 constexpr int kBadConfig = 2;
 
-void log(const std::string& line) {
-  std::cerr << line << '\n';
-}
-
 gateway::config::Config read_config(gateway::config::LoadReason reason) {
   return gateway::config::load_config([](const char* name) { return std::getenv(name); }, reason);
 }
 
 // Reloads the configuration on each SIGHUP. An invalid configuration is logged, and the previous
 // one stays in use.
-void reload_on_hangup(boost::asio::signal_set& hangup_signals, gateway::Gateway& gateway) {
+void reload_on_hangup(boost::asio::signal_set& hangup_signals, gateway::Gateway& gateway,
+                      gateway::event_log::EventLog& log) {
   hangup_signals.async_wait([&](boost::system::error_code ec, int) {
     if (ec) {
       return;
     }
     try {
       gateway.reload(read_config(gateway::config::LoadReason::reload));
-      log("configuration read again");
+      log.write_line("configuration read again");
     } catch (const std::exception& error) {
-      log(std::string("configuration not taken: ") + error.what());
+      log.write_line(std::string("configuration not taken: ") + error.what());
     }
-    reload_on_hangup(hangup_signals, gateway);
+    reload_on_hangup(hangup_signals, gateway, log);
   });
 }
 
 // The directory of the state that operators have set, which the processes of this gateway share. If
 // TMPDIR is not set, it is empty: the state is then not stored.
-std::string state_directory(const gateway::config::Config& config) {
+std::string state_directory(const gateway::config::Config& config,
+                            gateway::event_log::EventLog& log) {
   const char* base = std::getenv("TMPDIR");
   if (!base || !*base) {
-    log("TMPDIR is not set: the maintenance of hosts is forgotten when this process ends");
+    log.write_line(
+        "TMPDIR is not set: the maintenance of hosts is forgotten when this process ends");
     return {};
   }
   return std::string(base) + "/" + gateway::admin::file_name_of(config.name) + "-state";
@@ -71,13 +72,16 @@
 
 void join_fleet(boost::asio::io_context& io, gateway::Gateway& gateway,
                 std::optional<gateway::fleet_agent::FleetAgent>& agent,
-                gateway::fleet_agent::Config config) {
-  agent.emplace(
-      io, std::move(config),
-      gateway::fleet_agent::GatewayControls{[&](const std::string& uid, bool ejected) {
-                                              gateway.set_maintenance_by_fleet(uid, ejected);
-                                            },
-                                            [&] { gateway.update_retry_allowance(); }, log});
+                gateway::fleet_agent::Config config, gateway::event_log::EventLog& log) {
+  agent.emplace(io, std::move(config),
+                gateway::fleet_agent::GatewayControls{[&](const std::string& uid, bool ejected) {
+                                                        gateway.set_maintenance_by_fleet(uid,
+                                                                                         ejected);
+                                                      },
+                                                      [&] { gateway.update_retry_allowance(); },
+                                                      [&](const std::string& line) {
+                                                        log.write_line(line);
+                                                      }});
   gateway.join_fleet(
       {[&](std::string_view request_class, std::string_view tenant) {
          return agent->try_admit(request_class, tenant);
@@ -97,20 +101,25 @@
   const gateway::config::Config config = read_config(gateway::config::LoadReason::startup);
   std::optional<gateway::fleet_agent::Config> fleet_config = read_fleet_config(config);
   std::optional<gateway::fleet_agent::FleetAgent> agent;  // outlives the gateway, which calls it
+  gateway::event_log::EventLog log(
+      gateway::event_log::read_log_settings([](const char* name) { return std::getenv(name); }));
   gateway::Gateway gateway(io, config, {}, log);
   gateway::admin::AdminService admin_service(
-      state_directory(config),
+      state_directory(config, log),
       std::chrono::ceil<std::chrono::seconds>(config.balancer_settings.warmup_duration),
       {[&] { return gateway.is_available(); }, [&](bool drained) { gateway.set_drained(drained); },
        [&](const std::string& uid, bool in_maintenance) {
          gateway.set_maintenance(uid, in_maintenance);
        },
-       [&](bool has_sibling) { gateway.set_has_sibling(has_sibling); }, log});
+       [&](bool has_sibling) { gateway.set_has_sibling(has_sibling); },
+       [&](const std::string& line) {
+         log.write_line(line);
+       }});
   gateway.on_endpoint_listed(
       [&](const std::string& uid) { admin_service.on_endpoint_listed(uid); });
   gateway::admin::AdminStatePoller admin_state_poller(io, admin_service);
   if (fleet_config) {
-    join_fleet(io, gateway, agent, std::move(*fleet_config));
+    join_fleet(io, gateway, agent, std::move(*fleet_config), log);
   }
   std::optional<gateway::admin::AdminServer> admin_server;
   if (config.admin) {
@@ -119,6 +128,9 @@
                            if (agent && call.path == "/fleet" && call.method == "GET") {
                              return gateway::admin::AdminReply{200, agent->status_json(), {}};
                            }
+                           if (call.path == "/events" && call.method == "GET") {
+                             return gateway::admin::AdminReply{200, log.counters_json(), {}};
+                           }
                            return admin_service.handle(call);
                          });
   }
@@ -133,7 +145,7 @@
       io.stop();
     });
   });
-  reload_on_hangup(hangup_signals, gateway);
+  reload_on_hangup(hangup_signals, gateway, log);
   io.run();
   return 0;
 }
@@ -147,6 +159,9 @@
   } catch (const gateway::config::ConfigError& error) {
     std::cerr << "gateway: " << error.what() << '\n';
     return kBadConfig;
+  } catch (const gateway::event_log::LogSettingsError& error) {
+    std::cerr << "gateway: " << error.what() << '\n';
+    return kBadConfig;
   } catch (const gateway::fleet_agent::OperatorFileError& error) {
     std::cerr << "gateway: " << error.what() << '\n';
     return kBadConfig;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -8,6 +8,7 @@
 
 #include "http/client_session.hpp"
 #include "http/messages.hpp"
+#include "load_balancer/load_balancer.hpp"
 
 namespace gateway {
 
@@ -21,6 +22,8 @@
   std::uint32_t attempts_ordered = 0;
   /// Ordered attempts whose result has not been reported to the balancer.
   std::uint32_t attempts_in_flight = 0;
+  /// Of the attempt that ended last.
+  load_balancer::AttemptOutcome last_outcome = load_balancer::AttemptOutcome::not_sent;
   bool ended = false;  ///< The listener has the response, or the client has disconnected.
 };
 
--- a/src/http/client_listener.cpp
+++ b/src/http/client_listener.cpp
@@ -86,10 +86,11 @@
   };
   sessions_.callbacks.client_disconnected = [](ExchangeId) {
   };
+  sessions_.callbacks.connection_closed = nullptr;
   sessions_.pending_exchanges.clear();
   for (SessionQueue& queue : sessions_.queues) {
     while (!queue.empty()) {
-      queue.front()->close();
+      queue.front()->close(ClientCloseReason::shutdown);
     }
   }
 }
@@ -117,7 +118,7 @@
   if (!session->client_disconnected()) {
     return false;
   }
-  session->close();
+  session->close(ClientCloseReason::client_closed);
   return true;
 }
 
@@ -268,7 +269,7 @@
     }
   }
   for (const auto& session : disconnected) {
-    session->close();
+    session->close(ClientCloseReason::client_closed);
   }
 }
 
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -32,11 +32,39 @@
   wait_for_input();
 }
 
-void ClientSession::close() {
+const char* name_of(ClientCloseReason reason) {
+  switch (reason) {
+    case ClientCloseReason::client_closed:
+      return "client_closed";
+    case ClientCloseReason::read_error:
+      return "read_error";
+    case ClientCloseReason::write_error:
+      return "write_error";
+    case ClientCloseReason::after_response:
+      return "after_response";
+    case ClientCloseReason::idle:
+      return "idle";
+    case ClientCloseReason::timed_out:
+      return "timed_out";
+    case ClientCloseReason::no_capacity:
+      return "no_capacity";
+    case ClientCloseReason::response_aborted:
+      return "response_aborted";
+    case ClientCloseReason::shutdown:
+      return "shutdown";
+  }
+  return "unknown";
+}
+
+void ClientSession::close(ClientCloseReason reason) {
   if (state_ == SessionState::closed) {
     return;
   }
   const auto self = shared_from_this();
+  const bool unanswered = exchange_ != 0;
+  if (state_ == SessionState::lingering) {
+    reason = linger_reason_;
+  }
   release_reservation();
   registry_->queue(state_).erase(queue_position_);
   state_ = SessionState::closed;
@@ -46,6 +74,9 @@
   if (const auto stream = std::exchange(response_stream_, nullptr)) {
     stream->drop();
   }
+  if (registry_->callbacks.connection_closed) {
+    registry_->callbacks.connection_closed(reason, unanswered);
+  }
   registry_->on_session_closed();
   disconnect_exchange();
   if (const auto stream = std::exchange(request_stream_, nullptr)) {
@@ -55,7 +86,7 @@
 
 void ClientSession::close_gracefully() {
   if (state_ == SessionState::awaiting_request || state_ == SessionState::idle) {
-    linger();
+    linger(ClientCloseReason::idle);
   }
 }
 
@@ -68,12 +99,13 @@
     buffer_.consume(buffer_.size());
     received = socket_.read_some(buffer_.prepare(kReadChunk), ec);
   }
-  close();
+  close(ClientCloseReason::no_capacity);
 }
 
 // Closing a connection that has unread bytes resets it, and the client may receive the reset before
 // the response. So the sending side is shut down first, and input is discarded, within bounds.
-void ClientSession::linger() {
+void ClientSession::linger(ClientCloseReason reason) {
+  linger_reason_ = reason;
   enter(SessionState::lingering);
   error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -124,7 +156,8 @@
     return wait_for_input();
   }
   if (ec) {
-    return close();
+    return close(ec == asio::error::eof ? ClientCloseReason::client_closed
+                                        : ClientCloseReason::read_error);
   }
   buffer_.commit(received);
   switch (state_) {
@@ -136,7 +169,7 @@
     case SessionState::lingering:
       discarded_bytes_ += received;
       buffer_.consume(buffer_.size());
-      return discarded_bytes_ > kMaxDiscardedBytes ? close() : wait_for_input();
+      return discarded_bytes_ > kMaxDiscardedBytes ? close(linger_reason_) : wait_for_input();
     default:  // a pipelined request: buffered until the current one has its response
       read_ahead_bytes_ += received;
       registry_->read_ahead_bytes += received;
@@ -157,7 +190,7 @@
   if (state_ == SessionState::awaiting_request || state_ == SessionState::idle) {
     return close_gracefully();
   }
-  close();
+  close(ClientCloseReason::timed_out);
 }
 
 void ClientSession::enter(SessionState state) {
@@ -236,7 +269,7 @@
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
     self->waiting_for_input_ = false;
     if (ec) {
-      self->close();
+      self->close(ClientCloseReason::read_error);
     } else {
       self->read_available();
     }
--- a/src/http/client_session.hpp
+++ b/src/http/client_session.hpp
@@ -52,7 +52,21 @@
   std::chrono::milliseconds response_stall_timeout{15000};
 };
 
-/// Called on the event loop's thread. All must be set.
+/// Why a client's connection was closed.
+enum class ClientCloseReason {
+  client_closed,     ///< In order, or before its response.
+  read_error,        ///< Among them a reset by the client.
+  write_error,       ///< The client does not receive its response.
+  after_response,    ///< The response was the last one of its connection.
+  idle,              ///< Idle for too long, or while the gateway is drained or stops.
+  timed_out,         ///< The client made no progress in time.
+  no_capacity,       ///< In favour of a new connection.
+  response_aborted,  ///< The host failed within a streamed response.
+  shutdown           ///< The listener was destroyed.
+};
+const char* name_of(ClientCloseReason reason);
+
+/// Called on the event loop's thread. All but `connection_closed` must be set.
 struct ClientCallbacks {
   /// A request was received; respond() must be called for it, now or later.
   std::function<void(ClientRequest)> request;
@@ -60,6 +74,8 @@
   std::function<void(ExchangeId)> body_complete;
   /// The client has disconnected or has sent an invalid streamed body: respond() has no effect.
   std::function<void(ExchangeId)> client_disconnected;
+  /// A connection was closed; `unanswered` if a request on it has no response.
+  std::function<void(ClientCloseReason reason, bool unanswered)> connection_closed{};
 };
 
 /// The sessions of each state but `closed` are in a queue. All states but `awaiting_response` and
@@ -123,7 +139,7 @@
   /// `response` has none.
   void respond(HttpResponse response, std::shared_ptr<BodyStream> stream);
   /// Closes at once. If a response is still due, client_disconnected is called.
-  void close();
+  void close(ClientCloseReason reason);
   /// Closes a connection without an active request: shuts down the sending side, then discards
   /// input until the client closes, within bounds. A request that the client is just sending does
   /// not make the close a TCP reset; it is not executed, so the client can safely repeat it. Does
@@ -161,7 +177,7 @@
   void release_reservation();
   void disconnect_exchange();
   bool must_close_after_response() const;
-  void linger();
+  void linger(ClientCloseReason reason);
   void prepare_for_next_request();
   void on_response_written();
   void await_next_request();
@@ -195,6 +211,7 @@
   std::shared_ptr<BodyStream> response_stream_;
   std::string output_;  // being written
   SessionState state_ = SessionState::awaiting_request;
+  ClientCloseReason linger_reason_ = ClientCloseReason::after_response;
   SessionQueue::iterator queue_position_;
   ExchangeId exchange_ = 0;
   Clock::time_point last_progress_at_ = Clock::now();
--- a/src/http/client_session_response.cpp
+++ b/src/http/client_session_response.cpp
@@ -48,7 +48,7 @@
                               return;
                             }
                             if (ec) {
-                              return self->close();
+                              return self->close(ClientCloseReason::write_error);
                             }
                             self->on_response_written();
                           });
@@ -60,7 +60,7 @@
   if (keep_alive_) {
     await_next_request();
   } else {
-    linger();
+    linger(ClientCloseReason::after_response);
   }
 }
 
@@ -126,7 +126,7 @@
 void ClientSession::reset() {
   error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  close();
+  close(ClientCloseReason::response_aborted);
 }
 
 void ClientSession::write(std::string text, std::function<void()> on_written) {
@@ -141,7 +141,7 @@
           return;
         }
         if (ec) {
-          return self->close();
+          return self->close(ClientCloseReason::write_error);
         }
         self->output_ = {};
         self->record_progress();
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -3,6 +3,7 @@
 #include "http/upstream_connection.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
@@ -20,8 +21,8 @@
 using tcp = asio::ip::tcp;
 
 UpstreamConnection::UpstreamConnection(UpstreamConnectionOwner& owner, asio::io_context& io,
-                                       load_balancer::HostId host)
-    : owner_(&owner), host_(host), socket_(io), timeout_timer_(io), streaming_timer_(io) {}
+                                       load_balancer::HostId host, ConnectionId id)
+    : owner_(&owner), host_(host), id_(id), socket_(io), timeout_timer_(io), streaming_timer_(io) {}
 
 void UpstreamConnection::assign(AttemptKey key, HttpRequest request, AttemptTimeouts timeouts,
                                 std::shared_ptr<BodyStream> body, Clock::time_point now) {
@@ -42,7 +43,7 @@
   finish_attempt(Outcome::connect_failed);
 }
 
-void UpstreamConnection::close() {
+void UpstreamConnection::close(HostCloseReason reason) {
   if (state_ == State::closed) {
     return;
   }
@@ -50,7 +51,7 @@
   cancel_timers();
   error_code ignored;
   socket_.close(ignored);
-  owner_->on_connection_closed();
+  owner_->on_connection_closed(*this, reason);
   release_streams();
 }
 
@@ -106,6 +107,7 @@
     }
     error_code ignored;
     self->socket_.set_option(tcp::no_delay(true), ignored);
+    self->owner_->on_connected(*self);
     self->write_request();
   });
 }
@@ -232,10 +234,10 @@
 void UpstreamConnection::finish_attempt(Outcome outcome, Reuse reuse) {
   const auto self = shared_from_this();
   if (response_stream_) {
-    return close();
+    return close(HostCloseReason::stream_ended);
   }
   AttemptCompletion completion{key_,         host_, outcome, Clock::now() - sent_at_,
-                               std::nullopt, {},    nullptr};
+                               std::nullopt, {},    id_,     nullptr};
   if (outcome == Outcome::success || outcome == Outcome::rejected_by_host) {
     completion.load = load_report_of(response_);
   }
@@ -245,16 +247,22 @@
   }
   release_streams();
   owner_->release_attempt(key_);
-  keep_or_close(reuse);
+  keep_or_close(reuse, outcome == Outcome::success || outcome == Outcome::rejected_by_host
+                           ? HostCloseReason::response_closes
+                           : HostCloseReason::attempt_ended);
   owner_->report(std::move(completion));
 }
 
-void UpstreamConnection::keep_or_close(Reuse reuse) {
-  if (reuse == Reuse::allowed && owner_->keeps_connections(host_)) {
-    become_idle();
-  } else {
-    close();
+// `reason` is that of a close because the connection may not be reused.
+void UpstreamConnection::keep_or_close(Reuse reuse, HostCloseReason reason) {
+  if (reuse != Reuse::allowed) {
+    return close(reason);
   }
+  ++responses_;
+  if (!owner_->keeps_connections(host_)) {
+    return close(HostCloseReason::not_in_use);
+  }
+  become_idle();
 }
 
 void UpstreamConnection::become_idle() {
@@ -269,7 +277,7 @@
   watch_idle();
 }
 
-// An idle connection becomes readable when the host closes it. Unexpected data closes it as well.
+// An idle connection becomes readable when the host closes it. Unexpected bytes close it as well.
 void UpstreamConnection::watch_idle() {
   if (watching_idle_) {
     return;
@@ -278,17 +286,50 @@
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
     self->watching_idle_ = false;
     if (self->state_ == State::idle) {
-      self->owner_->remove_idle(self);
+      self->owner_->on_idle_readable(self);
     }
   });
 }
 
-bool UpstreamConnection::is_usable() {
-  char byte = 0;
-  error_code ec;
-  socket_.non_blocking(true, ec);
-  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-  return ec == asio::error::would_block || ec == asio::error::try_again;
+UpstreamConnection::Input UpstreamConnection::input() {
+  std::array<char, kReadChunk> bytes;
+  for (;;) {
+    error_code ec;
+    socket_.non_blocking(true, ec);
+    const std::size_t received =
+        socket_.receive(asio::buffer(bytes), tcp::socket::message_peek, ec);
+    if (ec == asio::error::interrupted) {
+      continue;
+    }
+    if (ec == asio::error::would_block || ec == asio::error::try_again) {
+      return {Input::Kind::none, 0};
+    }
+    return received > 0 ? Input{Input::Kind::bytes, received} : Input{Input::Kind::closed, 0};
+  }
+}
+
+const char* name_of(HostCloseReason reason) {
+  switch (reason) {
+    case HostCloseReason::host_closed:
+      return "host_closed";
+    case HostCloseReason::unexpected_bytes:
+      return "unexpected_bytes";
+    case HostCloseReason::response_closes:
+      return "response_closes";
+    case HostCloseReason::attempt_ended:
+      return "attempt_ended";
+    case HostCloseReason::stream_ended:
+      return "stream_ended";
+    case HostCloseReason::idle_timeout:
+      return "idle_timeout";
+    case HostCloseReason::no_capacity:
+      return "no_capacity";
+    case HostCloseReason::not_in_use:
+      return "not_in_use";
+    case HostCloseReason::shutdown:
+      return "shutdown";
+  }
+  return "unknown";
 }
 
 }  // namespace gateway::http
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -20,6 +20,7 @@
 #include "http/body_stream.hpp"
 #include "http/framing.hpp"
 #include "http/messages.hpp"
+#include "http/upstream_observer.hpp"
 #include "load_balancer/load_balancer.hpp"
 
 namespace gateway::http {
@@ -40,6 +41,7 @@
   load_balancer::Duration elapsed{};
   std::optional<load_balancer::LoadReport> load;  ///< If the response has one.
   HttpResponse response;                          ///< Only with AttemptOutcome::success.
+  ConnectionId connection = 0;                    ///< 0: the attempt had none.
   /// Null: the response is complete. Else its body comes from here, and is aborted if the host
   /// fails.
   std::shared_ptr<BodyStream> stream;
@@ -72,9 +74,11 @@
   /// Whether connections to the host are kept for further requests.
   virtual bool keeps_connections(load_balancer::HostId host) const = 0;
   virtual void add_idle(const std::shared_ptr<UpstreamConnection>& connection) = 0;
-  /// An idle connection became readable: the host has closed it or sent unexpected data.
-  virtual void remove_idle(const std::shared_ptr<UpstreamConnection>& connection) = 0;
-  virtual void on_connection_closed() = 0;
+  /// An idle connection became readable: the host has closed it or sent unexpected bytes.
+  virtual void on_idle_readable(const std::shared_ptr<UpstreamConnection>& connection) = 0;
+  virtual void on_connected(const UpstreamConnection& connection) = 0;
+  virtual void on_connection_closed(const UpstreamConnection& connection,
+                                    HostCloseReason reason) = 0;
 
  protected:
   ~UpstreamConnectionOwner() = default;
@@ -86,7 +90,7 @@
   using Clock = std::chrono::steady_clock;
 
   UpstreamConnection(UpstreamConnectionOwner& owner, boost::asio::io_context& io,
-                     load_balancer::HostId host);
+                     load_balancer::HostId host, ConnectionId id);
 
   /// Assigns an attempt. Must be followed by connect() on a new connection, by write_request() on
   /// an idle one. With a `body` the request's body comes from there.
@@ -99,15 +103,23 @@
   /// Ends the attempt as connect_failed; called while nothing of it has been sent.
   void fail_unsent();
   /// Closes without reporting the attempt.
-  void close();
+  void close(HostCloseReason reason);
 
   load_balancer::HostId host() const { return host_; }
+  ConnectionId id() const { return id_; }
+  /// Complete responses that the connection has carried.
+  std::uint64_t responses() const { return responses_; }
   Clock::time_point idle_since() const { return idle_since_; }
   /// Nothing of the request has been sent.
   bool not_yet_sent() const { return state_ == State::connecting; }
-  /// Whether an idle connection is still open. Checks the socket, as the event loop may not have
-  /// reported the end of the connection yet.
-  bool is_usable();
+  /// What an idle connection has received. Checks the socket, as the event loop may not have
+  /// reported it yet.
+  struct Input {
+    enum class Kind { none, bytes, closed };
+    Kind kind = Kind::none;
+    std::size_t bytes = 0;
+  };
+  Input input();
 
  private:
   enum class State { connecting, writing, reading, idle, closed };
@@ -150,12 +162,13 @@
   void restart_stall_timer();
 
   void finish_attempt(Outcome outcome, Reuse reuse = Reuse::forbidden);
-  void keep_or_close(Reuse reuse);
+  void keep_or_close(Reuse reuse, HostCloseReason reason);
   void become_idle();
   void watch_idle();
 
   UpstreamConnectionOwner* owner_;
   load_balancer::HostId host_;
+  ConnectionId id_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timeout_timer_;
   boost::asio::steady_timer streaming_timer_;
@@ -183,6 +196,7 @@
   std::uint64_t response_generation_ = 0;
   std::uint64_t streaming_timer_generation_ = 0;
   std::uint64_t body_size_ = 0;
+  std::uint64_t responses_ = 0;
   int interim_responses_ = 0;
   bool watching_idle_ = false;
   bool head_complete_ = false;
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -25,10 +25,11 @@
 }  // namespace
 
 UpstreamPool::UpstreamPool(asio::io_context& io, Limits limits, OnCompletion on_completion,
-                           std::shared_ptr<BufferBudget> buffer_budget)
+                           UpstreamObserver& observer, std::shared_ptr<BufferBudget> buffer_budget)
     : io_(io),
       limits_(limits),
       on_completion_(std::move(on_completion)),
+      observer_(observer),
       buffer_budget_(std::move(buffer_budget)),
       sweep_timer_(io) {
   sweep();
@@ -42,14 +43,14 @@
 void UpstreamPool::stop() {
   sweep_timer_.cancel();
   for (auto& [key, connection] : std::exchange(active_, {})) {
-    connection->close();
+    connection->close(HostCloseReason::shutdown);
   }
   for (const auto& connection : std::exchange(streaming_, {})) {
-    connection->close();
+    connection->close(HostCloseReason::shutdown);
   }
   for (auto& [id, host] : hosts_) {
     for (auto& connection : std::exchange(host.idle, {})) {
-      connection->close();
+      connection->close(HostCloseReason::shutdown);
     }
   }
 }
@@ -92,7 +93,7 @@
       return report_connect_failure(key, host);
     }
     UpstreamConnectionOwner& owner = *this;
-    connection = std::make_shared<UpstreamConnection>(owner, io_, host);
+    connection = std::make_shared<UpstreamConnection>(owner, io_, host, ++last_connection_id_);
     ++open_connections_;
   }
   connection->assign(key, std::move(request), timeouts, std::move(body), now);
@@ -105,7 +106,7 @@
 }
 
 void UpstreamPool::report_connect_failure(AttemptKey key, HostId host) {
-  on_completion_({key, host, AttemptOutcome::connect_failed, {}, std::nullopt, {}, nullptr});
+  on_completion_({key, host, AttemptOutcome::connect_failed, {}, std::nullopt, {}, 0, nullptr});
 }
 
 void UpstreamPool::cancel(AttemptKey key) {
@@ -120,7 +121,7 @@
 void UpstreamPool::close_idle(HostId host) {
   if (const auto entry = hosts_.find(host); entry != hosts_.end()) {
     for (auto& connection : std::exchange(entry->second.idle, {})) {
-      connection->close();
+      connection->close(HostCloseReason::not_in_use);
     }
   }
 }
@@ -178,11 +179,32 @@
   hosts_.at(connection->host()).idle.push_back(connection);
 }
 
-void UpstreamPool::remove_idle(const std::shared_ptr<UpstreamConnection>& connection) {
+void UpstreamPool::on_idle_readable(const std::shared_ptr<UpstreamConnection>& connection) {
   if (const auto entry = hosts_.find(connection->host()); entry != hosts_.end()) {
     std::erase(entry->second.idle, connection);
   }
-  connection->close();
+  close_after_input(*connection, connection->input());
+}
+
+void UpstreamPool::close_after_input(UpstreamConnection& connection,
+                                     const UpstreamConnection::Input& input) {
+  if (input.kind != UpstreamConnection::Input::Kind::bytes) {
+    return connection.close(HostCloseReason::host_closed);
+  }
+  observer_.on_unexpected_bytes({connection.host(), connection.id(), input.bytes,
+                                 Clock::now() - connection.idle_since(), connection.responses()});
+  connection.close(HostCloseReason::unexpected_bytes);
+}
+
+void UpstreamPool::on_connected(const UpstreamConnection& connection) {
+  observer_.on_connection_opened({connection.host(), connection.id()});
+}
+
+void UpstreamPool::on_connection_closed(const UpstreamConnection& connection,
+                                        HostCloseReason reason) {
+  --open_connections_;
+  observer_.on_connection_closed(
+      {connection.host(), connection.id(), reason, connection.responses()});
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::take_idle(Host& host) {
@@ -190,10 +212,15 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    if (!has_expired(*connection) && connection->is_usable()) {
+    if (has_expired(*connection)) {
+      connection->close(HostCloseReason::idle_timeout);
+      continue;
+    }
+    const UpstreamConnection::Input input = connection->input();
+    if (input.kind == UpstreamConnection::Input::Kind::none) {
       return connection;
     }
-    connection->close();
+    close_after_input(*connection, input);
   }
   return nullptr;
 }
@@ -217,7 +244,7 @@
   if (oldest == nullptr) {
     return false;
   }
-  oldest->front()->close();
+  oldest->front()->close(HostCloseReason::no_capacity);
   oldest->erase(oldest->begin());
   return true;
 }
@@ -231,7 +258,7 @@
       if (serving && !has_expired(*connection)) {
         return false;
       }
-      connection->close();
+      connection->close(serving ? HostCloseReason::idle_timeout : HostCloseReason::not_in_use);
       return true;
     });
   }
--- a/src/http/upstream_pool.hpp
+++ b/src/http/upstream_pool.hpp
@@ -36,8 +36,9 @@
   /// attempts.
   using OnCompletion = std::function<void(AttemptCompletion)>;
 
+  /// `observer` must outlive the pool.
   UpstreamPool(boost::asio::io_context& io, Limits limits, OnCompletion on_completion,
-               std::shared_ptr<BufferBudget> buffer_budget = std::make_shared<BufferBudget>());
+               UpstreamObserver& observer, std::shared_ptr<BufferBudget> buffer_budget);
   // NOLINTNEXTLINE(bugprone-exception-escape): throws only when out of memory
   ~UpstreamPool();
   UpstreamPool(const UpstreamPool&) = delete;
@@ -98,26 +99,31 @@
   void report(AttemptCompletion completion) override;
   bool keeps_connections(load_balancer::HostId host) const override;
   void add_idle(const std::shared_ptr<UpstreamConnection>& connection) override;
-  void remove_idle(const std::shared_ptr<UpstreamConnection>& connection) override;
-  void on_connection_closed() override { --open_connections_; }
+  void on_idle_readable(const std::shared_ptr<UpstreamConnection>& connection) override;
+  void on_connected(const UpstreamConnection& connection) override;
+  void on_connection_closed(const UpstreamConnection& connection, HostCloseReason reason) override;
 
   template <class Predicate>
   void fail_unsent_where(Predicate predicate);
   void report_connect_failure(AttemptKey key, load_balancer::HostId host);
   std::shared_ptr<UpstreamConnection> take_idle(Host& host);
   bool close_oldest_idle();
+  /// Closes an idle connection that has received the input.
+  void close_after_input(UpstreamConnection& connection, const UpstreamConnection::Input& input);
   bool has_expired(const UpstreamConnection& connection) const;
   void sweep();
 
   boost::asio::io_context& io_;
   Limits limits_;
   OnCompletion on_completion_;
+  UpstreamObserver& observer_;
   std::unordered_map<load_balancer::HostId, Host> hosts_;
   std::unordered_map<AttemptKey, std::shared_ptr<UpstreamConnection>, KeyHash> active_;
   // Connections whose attempts are completed and whose responses are still streamed.
   std::unordered_set<std::shared_ptr<UpstreamConnection>> streaming_;
   std::shared_ptr<BufferBudget> buffer_budget_;
   std::size_t open_connections_ = 0;
+  ConnectionId last_connection_id_ = 0;
   boost::asio::steady_timer sweep_timer_;
 };
 
--- a/src/http/upstream_response.cpp
+++ b/src/http/upstream_response.cpp
@@ -199,7 +199,7 @@
   response_stream_->finish();
   const auto self = shared_from_this();
   release_streams();
-  keep_or_close(reuse);
+  keep_or_close(reuse, HostCloseReason::response_closes);
 }
 
 bool UpstreamConnection::has_long_body() const {
@@ -268,17 +268,13 @@
   };
   response_stream_->on_dropped = [weak] {
     if (const auto connection = weak.lock()) {
-      connection->close();
+      connection->close(HostCloseReason::stream_ended);
     }
   };
   state_ = State::reading;
-  AttemptCompletion completion{key_,
-                               host_,
-                               Outcome::success,
-                               Clock::now() - sent_at_,
-                               load_report_of(response_),
-                               response_,
-                               response_stream_};
+  AttemptCompletion completion{
+      key_,      host_, Outcome::success, Clock::now() - sent_at_, load_report_of(response_),
+      response_, id_,   response_stream_};
   owner_->release_attempt(key_);
   owner_->add_stream(self);
   restart_stall_timer();
--- /dev/null
+++ b/src/lab/cli/commands_soak.cpp
@@ -0,0 +1,105 @@
+// The sub-commands that run gateway processes in front of faulty hosts.
+#include <unistd.h>
+
+#include <array>
+#include <filesystem>
+#include <iostream>
+
+#include "lab/cli/commands.hpp"
+#include "lab/soak/soak_run.hpp"
+
+namespace gateway::lab {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct NamedKind {
+  const char* name;
+  StrayKind kind;
+};
+constexpr std::array<NamedKind, 9> kStrayKinds{{{"none", StrayKind::none},
+                                                {"ok", StrayKind::ok},
+                                                {"server-error", StrayKind::server_error},
+                                                {"unavailable", StrayKind::unavailable},
+                                                {"not-run", StrayKind::unavailable_not_run},
+                                                {"interim", StrayKind::interim},
+                                                {"half", StrayKind::half_response},
+                                                {"same-write", StrayKind::same_write},
+                                                {"before-request", StrayKind::before_request}}};
+
+StrayKind kind_of(const std::string& name) {
+  std::string known;
+  for (const NamedKind& entry : kStrayKinds) {
+    if (name == entry.name) {
+      return entry.kind;
+    }
+    known += std::string(known.empty() ? "" : ", ") + entry.name;
+  }
+  throw BadInput("--kind: '" + name + "' is unknown; expected one of " + known);
+}
+
+struct StrayOptions {
+  std::string gateway;
+  std::string kind = "ok";
+  double share = 0.1;
+  int min_delay_ms = 1;
+  int max_delay_ms = 100;
+  double rate = 100;
+  std::size_t requests = 2000;
+  std::size_t hosts = 6;
+  std::size_t descriptors = 1024;
+  double rejected_share = 0.03;
+  std::uint64_t seed = 1;
+  std::vector<std::string> environment;
+};
+
+int run_strays(const StrayOptions& options) {
+  SoakPlan plan;
+  plan.seed = options.seed;
+  plan.hosts = options.hosts;
+  plan.descriptors = options.descriptors;
+  plan.clients.rate = options.rate;
+  plan.clients.requests = options.requests;
+  plan.host.rejected_share = options.rejected_share;
+  plan.host.stray = {kind_of(options.kind), options.share, milliseconds(options.min_delay_ms),
+                     milliseconds(options.max_delay_ms)};
+  plan.environment = options.environment;
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("gateway-strays-" + std::to_string(::getpid()));
+  const SoakResult result = run_soak(options.gateway, plan, folder);
+  std::filesystem::remove_all(folder);
+  std::cout << summary(result) << std::endl;
+  const bool passed = result.ledger.violations() == 0 && result.process_failures.empty();
+  return passed ? kExitSuccess : kExitCheckFailed;
+}
+
+}  // namespace
+
+void add_strays(CLI::App& app, int& result) {
+  auto* command = app.add_subcommand(
+      "strays", "A gateway process in front of hosts that write bytes which belong to no request.");
+  auto options = std::make_shared<StrayOptions>();
+  command->add_option("--gateway", options->gateway, "The gateway executable")->required();
+  command->add_option("--kind", options->kind, "What the hosts write")->capture_default_str();
+  command->add_option("--share", options->share, "Of the responses or connections")
+      ->capture_default_str();
+  command->add_option("--min-delay-ms", options->min_delay_ms, "After the response")
+      ->capture_default_str();
+  command->add_option("--max-delay-ms", options->max_delay_ms, "After the response")
+      ->capture_default_str();
+  command->add_option("--rate", options->rate, "Requests a second")->capture_default_str();
+  command->add_option("--requests", options->requests, "In all")->capture_default_str();
+  command->add_option("--hosts", options->hosts, "Number of hosts")->capture_default_str();
+  command->add_option("--descriptors", options->descriptors, "Limit of the gateway")
+      ->capture_default_str();
+  command->add_option("--rejected", options->rejected_share, "Share that hosts reject unprocessed")
+      ->capture_default_str();
+  command->add_option("--seed", options->seed, "Of the run")->capture_default_str();
+  command->add_option("--env", options->environment, "NAME=VALUE for the gateway");
+  command->footer(
+      "Example:\n  gateway-lab strays --gateway build/gateway --kind not-run --rate 600 "
+      "--requests 20000");
+  command->callback([options, &result] { result = run_strays(*options); });
+}
+
+}  // namespace gateway::lab
--- a/src/lab/soak/request_ledger.cpp
+++ b/src/lab/soak/request_ledger.cpp
@@ -40,23 +40,23 @@
 
 }  // namespace
 
-const char* name_of(Violation violation) {
+const char* name_of(LedgerViolation violation) {
   switch (violation) {
-    case Violation::foreign_response:
+    case LedgerViolation::foreign_response:
       return "foreign_response";
-    case Violation::unsafe_repeated:
+    case LedgerViolation::unsafe_repeated:
       return "unsafe_repeated";
-    case Violation::keyed_repeated:
+    case LedgerViolation::keyed_repeated:
       return "keyed_repeated";
-    case Violation::attempts_overlap:
+    case LedgerViolation::attempts_overlap:
       return "attempts_overlap";
-    case Violation::no_response:
+    case LedgerViolation::no_response:
       return "no_response";
-    case Violation::sent_for_gone_client:
+    case LedgerViolation::sent_for_gone_client:
       return "sent_for_gone_client";
-    case Violation::deadline_too_long:
+    case LedgerViolation::deadline_too_long:
       return "deadline_too_long";
-    case Violation::sent_to_closed_host:
+    case LedgerViolation::sent_to_closed_host:
       return "sent_to_closed_host";
   }
   return "unknown";
@@ -76,13 +76,13 @@
   ++responses_[status];
   if (status == kStatusOk && (body != body_for(id) || request.executions == 0)) {
     record(
-        Violation::foreign_response, id,
+        LedgerViolation::foreign_response, id,
         "got '" + one_line(body) + "', executed " + std::to_string(request.executions) + " times");
   }
 }
 
 void RequestLedger::on_no_response(const std::string& id, const std::string& how) {
-  record(Violation::no_response, id, how);
+  record(LedgerViolation::no_response, id, how);
 }
 
 void RequestLedger::on_client_closed(const std::string& id) {
@@ -98,7 +98,7 @@
   const Time now = Clock::now();
   for (const Attempt& earlier : request.attempts) {
     if (earlier.in_flight) {
-      record(Violation::attempts_overlap, id, earlier.host + " and " + host);
+      record(LedgerViolation::attempts_overlap, id, earlier.host + " and " + host);
     }
   }
   retries_ += request.attempts.empty() ? 0 : 1;
@@ -110,20 +110,20 @@
       groups.insert(attempt.zone);
     }
     if (request.effect == Effect::unsafe && request.executions > 1) {
-      record(Violation::unsafe_repeated, id, "again at " + host);
+      record(LedgerViolation::unsafe_repeated, id, "again at " + host);
     }
     if (request.effect == Effect::keyed && request.executions > 1 && groups.size() > 1) {
-      record(Violation::keyed_repeated, id, "again at " + host + " in " + zone);
+      record(LedgerViolation::keyed_repeated, id, "again at " + host + " in " + zone);
     }
   }
   if (request.client_gone && now - request.gone_at > kGoneClientSlack) {
-    record(Violation::sent_for_gone_client, id,
+    record(LedgerViolation::sent_for_gone_client, id,
            host + " " + std::to_string(seconds_between(request.gone_at, now)) + " s after");
   }
   const auto remaining =
       std::chrono::duration_cast<milliseconds>(request.sent + request.timeout - now);
   if (deadline > remaining + kDeadlineSlack) {
-    record(Violation::deadline_too_long, id,
+    record(LedgerViolation::deadline_too_long, id,
            std::to_string(deadline.count()) + " ms of " + std::to_string(remaining.count()));
   }
   return request.attempts.size() - 1;
@@ -134,7 +134,7 @@
 }
 
 void RequestLedger::on_sent_to_closed_host(const std::string& id, const std::string& host) {
-  record(Violation::sent_to_closed_host, id, host);
+  record(LedgerViolation::sent_to_closed_host, id, host);
 }
 
 std::size_t RequestLedger::responses(int status) const {
@@ -150,7 +150,8 @@
   return total;
 }
 
-void RequestLedger::record(Violation violation, const std::string& id, const std::string& detail) {
+void RequestLedger::record(LedgerViolation violation, const std::string& id,
+                           const std::string& detail) {
   ++counts_[static_cast<std::size_t>(violation)];
   if (examples_.size() >= kMaxExamples) {
     return;
--- a/src/lab/soak/request_ledger.hpp
+++ b/src/lab/soak/request_ledger.hpp
@@ -14,7 +14,7 @@
 // Whether a request may be executed again.
 enum class Effect { safe, keyed, unsafe };
 
-enum class Violation {
+enum class LedgerViolation {
   foreign_response,      // a client got a 200 response that no host made for its request
   unsafe_repeated,       // a request of an unsafe class was executed more than once
   keyed_repeated,        // a keyed request was executed in two deduplication groups
@@ -24,8 +24,8 @@
   deadline_too_long,     // an attempt named a later deadline than its client's
   sent_to_closed_host    // an attempt began too long after a drain was notified
 };
-inline constexpr std::size_t kViolations = 8;
-const char* name_of(Violation violation);
+inline constexpr std::size_t kLedgerViolations = 8;
+const char* name_of(LedgerViolation violation);
 
 // Holds every request of a run. The clients and the hosts report to it; it compares the two sides.
 // Used on one thread.
@@ -79,7 +79,7 @@
   std::size_t requests() const { return requests_.size(); }
   std::size_t responses(int status) const;
   std::size_t retries() const { return retries_; }
-  std::size_t count(Violation violation) const {
+  std::size_t count(LedgerViolation violation) const {
     return counts_[static_cast<std::size_t>(violation)];
   }
   std::size_t violations() const;
@@ -87,12 +87,12 @@
   const std::vector<std::string>& examples() const { return examples_; }
 
  private:
-  void record(Violation violation, const std::string& id, const std::string& detail);
+  void record(LedgerViolation violation, const std::string& id, const std::string& detail);
 
   std::unordered_map<std::string, Request> requests_;
   std::map<int, std::size_t> responses_;
   std::size_t retries_ = 0;
-  std::size_t counts_[kViolations] = {};
+  std::size_t counts_[kLedgerViolations] = {};
   std::vector<std::string> examples_;
   Time start_ = Clock::now();
 };
--- a/src/lab/soak/soak_run.cpp
+++ b/src/lab/soak/soak_run.cpp
@@ -1,11 +1,13 @@
 #include "lab/soak/soak_run.hpp"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -212,6 +214,33 @@
 
 }  // namespace
 
+std::string summary(const SoakResult& result) {
+  const double requests = static_cast<double>(std::max<std::size_t>(result.ledger.requests(), 1));
+  char text[256];
+  std::snprintf(text, sizeof text,
+                "%zu requests, %zu served, %zu retries, %zu strays, %zu connections (at most %zu "
+                "open), CPU %.0f us a request;",
+                result.ledger.requests(), result.ledger.responses(200), result.ledger.retries(),
+                result.strays_sent, result.connections_to_hosts, result.max_open_connections,
+                result.gateway_cpu_seconds * 1e6 / requests);
+  std::string out = text;
+  for (std::size_t i = 0; i < kLedgerViolations; ++i) {
+    const auto violation = static_cast<LedgerViolation>(i);
+    if (result.ledger.count(violation) > 0) {
+      out += std::string(" ") + name_of(violation) + "=" +
+             std::to_string(result.ledger.count(violation));
+    }
+  }
+  out += " violations=" + std::to_string(result.ledger.violations());
+  for (const std::string& line : result.ledger.examples()) {
+    out += "\n  " + line;
+  }
+  for (const std::string& line : result.process_failures) {
+    out += "\n  " + line;
+  }
+  return out;
+}
+
 SoakResult run_soak(const std::string& program, const SoakPlan& plan,
                     const std::filesystem::path& folder) {
   return SoakRun(program, plan, folder).run();
--- a/src/lab/soak/soak_run.hpp
+++ b/src/lab/soak/soak_run.hpp
@@ -34,6 +34,9 @@
   std::vector<std::string> process_failures;  // a gateway was not ready or ended by itself
 };
 
+// One line of figures, and a line for each of the first violations.
+std::string summary(const SoakResult& result);
+
 // Runs `program`, the gateway executable, until each request has its result. `folder` gets the
 // gateways' configurations and logs and is created.
 SoakResult run_soak(const std::string& program, const SoakPlan& plan,
--- a/src/load_balancer/request_scheduler.cpp
+++ b/src/load_balancer/request_scheduler.cpp
@@ -41,7 +41,7 @@
       std::min(retry_tokens_ + kRetryTokensPerRequest,
                kMaxSavedRetryTokens + kRetryTokensPerRequest * admission.arrival_rate());
   if (request.priority_score < admission.shedding_threshold()) {
-    send_rejection(request);
+    send_rejection(request, EndReason::below_threshold);
     end_request(request);
   } else if (is_serialized(request)) {
     enqueue(request);
@@ -86,7 +86,7 @@
 void RequestScheduler::dispatch(ActiveRequest& request) {
   const ClassState& class_state = context.classes[request.class_index];
   if (!send(request)) {
-    return reject_or_fail(request);
+    return reject_or_fail(request, EndReason::no_attempt_possible);
   }
   if (admission.confidence() < 1) {
     add_timer(request, request.objective_deadline, TimerKind::latency_objective);
@@ -180,13 +180,13 @@
     return;
   }
   if (result.outcome == AttemptOutcome::bad_request) {
-    context.emit(FailRequest{request.id});
+    context.emit(FailRequest{request.id, EndReason::invalid_request});
     return end_request(request);
   }
   const bool may_retry = !result.request_consumed && latest_useful_time(request) > context.now &&
                          result.outcome != AttemptOutcome::not_sent;
   if (!may_retry || !retry(request)) {
-    reject_or_fail(request);
+    reject_or_fail(request, EndReason::attempts_exhausted);
   }
 }
 
@@ -223,7 +223,7 @@
 // Sends a rejection if a retry by the client is safe: no attempt can have run at its host, or the
 // class is idempotent, or it is deduplicated by all hosts and no attempt is in flight. Otherwise
 // the request fails.
-void RequestScheduler::reject_or_fail(ActiveRequest& request) {
+void RequestScheduler::reject_or_fail(ActiveRequest& request, EndReason reason) {
   const ClassSettings& class_settings = context.classes[request.class_index].settings;
   bool may_have_run = false;
   for (std::uint32_t i = 0; i < request.attempt_count; ++i) {
@@ -235,22 +235,22 @@
                               class_settings.deduplication_scope == DeduplicationScope::global &&
                               request.attempts_in_flight == 0);
   if (is_retry_safe) {
-    send_rejection(request);
+    send_rejection(request, reason);
   } else {
-    context.emit(FailRequest{request.id});
+    context.emit(FailRequest{request.id, reason});
   }
   end_request(request);
 }
 
 // The Retry-After grows as the score falls. Its jitter of -50 % to 0 spreads the clients' retries.
-void RequestScheduler::send_rejection(const ActiveRequest& request) {
+void RequestScheduler::send_rejection(const ActiveRequest& request, EndReason reason) {
   Duration retry_after{};
   if (context.settings.send_retry_after) {
     retry_after = scaled(context.settings.max_retry_after,
                          std::max(1 - request.priority_score / 100, kMinRetryAfterFraction) *
                              (0.5 + 0.5 * context.draw_unit()));
   }
-  context.emit(RejectRequest{request.id, retry_after});
+  context.emit(RejectRequest{request.id, retry_after, reason});
 }
 
 void RequestScheduler::cancel_attempts(ActiveRequest& request, std::uint32_t except) {
@@ -309,7 +309,7 @@
 void RequestScheduler::enqueue(ActiveRequest& request) {
   const std::size_t ahead = key_queues_.enqueue(request.key, requests_.slot(request));
   if (ahead > 0 && would_be_late(request, ahead)) {
-    return reject_or_fail(request);
+    return reject_or_fail(request, EndReason::key_queue_too_long);
   }
   add_timer(request, request.deadline - context.settings.event_batch_interval,
             TimerKind::response_deadline);
@@ -342,10 +342,10 @@
         request->attempt_count == 0) {
       keys_to_dispatch_.push_back(request->key);
       if (would_be_late(*request, 0)) {
-        reject_or_fail(*request);
+        reject_or_fail(*request, EndReason::key_queue_too_long);
       }
     } else if (timer.kind == TimerKind::response_deadline && !request->body_pending) {
-      reject_or_fail(*request);
+      reject_or_fail(*request, EndReason::deadline);
     } else if (timer.kind == TimerKind::latency_objective && request->attempts_in_flight > 0) {
       outlier_detector.on_response_timeliness(
           hosts.at(request->attempts[request->attempt_count - 1].host), true);
--- a/src/load_balancer/request_scheduler.hpp
+++ b/src/load_balancer/request_scheduler.hpp
@@ -81,8 +81,8 @@
     hosts.add_in_flight(host, 1);
   }
   // Ends the request without a response.
-  void reject_or_fail(ActiveRequest& request);
-  void send_rejection(const ActiveRequest& request);
+  void reject_or_fail(ActiveRequest& request, EndReason reason);
+  void send_rejection(const ActiveRequest& request, EndReason reason);
   void end_request(ActiveRequest& request) {
     request.ended = true;
     cancel_attempts(request);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -735,8 +735,7 @@
   config["discovery"] = text_of(discovery.peer.endpoint);
   config.erase("known");
   gateway = std::make_unique<Gateway>(
-      io, config::parse_config(config, [&](const char*) { return nullptr; }), waits,
-      [](const std::string&) {});
+      io, config::parse_config(config, [&](const char*) { return nullptr; }), waits, event_log);
   ASSERT_TRUE(until([&] { return discovery.pending_watches.size() == 1; }));
   EXPECT_EQ(discovery.request_targets[0], "/discovery/hosts");
   EXPECT_EQ(send_request(request_text("read")).result_int(), 200u);
@@ -991,7 +990,7 @@
     const config::Config c = config::parse_config(config, [&](const char* name) {
       return name == std::string("GW_PASSED_SOCKET") ? socket.c_str() : nullptr;
     });
-    return std::make_unique<Gateway>(io, c, waits, [](const std::string&) {});
+    return std::make_unique<Gateway>(io, c, waits, event_log);
   };
   gateway = make();
   EXPECT_FALSE(gateway->is_available()) << "not before discovery has sent an endpoint list";
@@ -1022,7 +1021,7 @@
   const config::Config c = config::parse_config(config, [&](const char* name) {
     return name == std::string("GW_PASSED_SOCKET") ? socket.c_str() : nullptr;
   });
-  gateway = std::make_unique<Gateway>(io, c, waits, [](const std::string&) {});
+  gateway = std::make_unique<Gateway>(io, c, waits, event_log);
   ASSERT_TRUE(until([&] { return gateway->is_available(); }));
   bool done = false;
   gateway->stop([&] { done = true; });
--- a/tests/gateway/program_test.cpp
+++ b/tests/gateway/program_test.cpp
@@ -54,6 +54,10 @@
   EXPECT_EQ(exit_code(start_program("GW_CONFIG=/nonexistent")), 2);
 }
 
+TEST(Program, ExitsOnInvalidLogSetting) {
+  EXPECT_EQ(exit_code(start_program("GW_LOG_LINES_PER_SECOND=many")), 2);
+}
+
 // Writes a configuration file of this test process and returns its path.
 std::string write_config(const json& config, const std::string& name) {
   std::string path = ::testing::TempDir() + name + std::to_string(getpid()) + ".json";
@@ -133,6 +137,7 @@
 TEST_F(RunningProgram, ExitsWithZeroOnSigterm) {}  // checked by TearDown()
 
 TEST_F(RunningProgram, HandlesOperatorRequestsAtAdminAddress) {
+  EXPECT_EQ(status_of("GET", "/events"), 200u);
   EXPECT_EQ(status_of("GET", "/healthcheck"), 200u);
   EXPECT_EQ(status_of("POST", "/hosts/s-0/maint"), 200u);
   EXPECT_EQ(status_of("POST", "/hosts/s-none/maint"), 404u);
--- a/tests/lab/stray_response_test.cpp
+++ b/tests/lab/stray_response_test.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include <cstdlib>
 #include <ostream>
 
 #include "lab/soak/soak_run.hpp"
@@ -13,12 +12,6 @@
 
 using std::chrono::milliseconds;
 
-// Scales the number of requests of each case; the default keeps the test short.
-std::size_t scaled_requests(std::size_t requests) {
-  const char* factor = std::getenv("STRAY_TEST_SCALE");
-  return factor ? requests * static_cast<std::size_t>(std::atoi(factor)) : requests;
-}
-
 struct StrayCase {
   const char* name;
   StrayKind kind;
@@ -35,7 +28,7 @@
 SoakPlan plan_for(const StrayCase& stray_case) {
   SoakPlan plan;
   plan.clients.rate = stray_case.rate;
-  plan.clients.requests = scaled_requests(static_cast<std::size_t>(stray_case.rate * 5));
+  plan.clients.requests = static_cast<std::size_t>(stray_case.rate * 5);
   plan.host.rejected_share = 0.03;
   plan.host.stray = {stray_case.kind, stray_case.share, stray_case.min_delay, stray_case.max_delay};
   return plan;
@@ -49,25 +42,6 @@
   return result;
 }
 
-std::string report(const SoakResult& result) {
-  std::string text = std::to_string(result.ledger.requests()) + " requests, " +
-                     std::to_string(result.ledger.responses(200)) + " served, " +
-                     std::to_string(result.ledger.retries()) + " retries, " +
-                     std::to_string(result.strays_sent) + " strays, " +
-                     std::to_string(result.connections_to_hosts) + " connections (at most " +
-                     std::to_string(result.max_open_connections) + " open), CPU " +
-                     std::to_string(result.gateway_cpu_seconds) + " s;";
-  for (std::size_t i = 0; i < kViolations; ++i) {
-    const auto violation = static_cast<Violation>(i);
-    text += std::string(" ") + name_of(violation) + "=" +
-            std::to_string(result.ledger.count(violation));
-  }
-  for (const std::string& example : result.ledger.examples()) {
-    text += "\n  " + example;
-  }
-  return text;
-}
-
 class StrayResponse : public ::testing::TestWithParam<StrayCase> {};
 
 // Guards against taking bytes that a host wrote for an earlier request, or for none, as the
@@ -75,19 +49,15 @@
 TEST_P(StrayResponse, IsNeverTakenAsResponseToAnotherRequest) {
   const SoakPlan plan = plan_for(GetParam());
   const SoakResult result = run(plan);
-  RecordProperty("report", report(result));
-  if (std::getenv("STRAY_TEST_SCALE")) {
-    std::cout << GetParam().name << ": " << report(result) << std::endl;
-  }
   EXPECT_TRUE(result.process_failures.empty()) << result.process_failures.front();
   EXPECT_EQ(result.ledger.requests(), plan.clients.requests);
-  EXPECT_EQ(result.ledger.violations(), 0u) << report(result);
+  EXPECT_EQ(result.ledger.violations(), 0u) << summary(result);
   if (GetParam().kind != StrayKind::none) {
     EXPECT_GT(result.strays_sent, 0u);
   }
   // Retries stay in use: the hosts reject 3 % of the requests.
   EXPECT_GT(result.ledger.retries(), 0u);
-  EXPECT_GT(result.ledger.responses(200), plan.clients.requests * 8 / 10) << report(result);
+  EXPECT_GT(result.ledger.responses(200), plan.clients.requests * 8 / 10) << summary(result);
 }
 
 constexpr milliseconds k1{1};
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -22,6 +22,10 @@
   // Both take effect in start().
   json config = config_json();
   Gateway::Overrides waits;
+  std::vector<std::string> log_lines;
+  event_log::EventLog event_log{{true, 100000}, [this](std::string_view line) {
+                                  log_lines.emplace_back(line);
+                                }};
   std::unique_ptr<Gateway> gateway;
   int serial = 0;                            // number in the latest request id
   std::vector<std::string> attempted_hosts;  // uid of the host of each attempt, in order
@@ -47,8 +51,7 @@
       config["known"] = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
     }
     gateway = std::make_unique<Gateway>(
-        io, config::parse_config(config, [](const char*) { return nullptr; }), waits,
-        [](const std::string&) {});
+        io, config::parse_config(config, [](const char*) { return nullptr; }), waits, event_log);
   }
   // See run_until().
   template <class Predicate>
