--- a/include/load_balancer/settings.hpp
+++ b/include/load_balancer/settings.hpp
@@ -68,7 +68,9 @@
   std::uint32_t max_attempts = 1;   // for one request
   std::uint32_t streams_per_connection = 1;  // attempts that a connection carries at a time
   Duration idle_connection_timeout{};        // an unused connection is closed after it; 0 = never
-  Duration max_retry_after{};                // the longest Retry-After that clients respect
+  // Silence that a connection keeps after a response before it carries another attempt.
+  Duration connection_quiet_period{};
+  Duration max_retry_after{};       // the longest Retry-After that clients respect
   Duration max_poll_interval{};     // the longest time between two polls of discovery; 0 = no limit
   Duration event_batch_interval{};  // between batches of events: their largest delay
   Duration warmup_duration{};       // time from the start of a host to its full capacity
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,8 @@
 #include <utility>
 #include <variant>
 
+#include "http/connection_reuse.hpp"
+
 namespace gateway {
 namespace {
 
@@ -29,6 +31,11 @@
 // Fraction of the balancer's budgets for each process while two serve as one gateway.
 constexpr double kBudgetFractionWithSibling = 0.5;
 
+load_balancer::Settings with_quiet_period(load_balancer::Settings settings) {
+  settings.connection_quiet_period = http::kQuietPeriod;
+  return settings;
+}
+
 http::HttpResponse empty_response(beast_http::status status) {
   http::HttpResponse response;
   response.result(status);
@@ -47,7 +54,7 @@
       overrides_(overrides),
       request_mapper_(config.balancer_settings),
       log_(log),
-      balancer_(config.balancer_settings, now()),
+      balancer_(with_quiet_period(config.balancer_settings), now()),
       events_(log, balancer_),
       upstream_pool_(
           io, upstream_limits(config, ProcessRole::sole),
--- /dev/null
+++ b/src/http/connection_reuse.cpp
@@ -0,0 +1,32 @@
+#include "http/connection_reuse.hpp"
+
+#include <cmath>
+
+namespace gateway::http {
+namespace {
+
+constexpr double kWaitMemorySeconds = 1;
+// Of kWaitMemorySeconds. More makes a client that sends one request after another wait for each.
+constexpr double kMaxWaitSeconds = 0.2;
+
+double seconds_of(load_balancer::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+bool WaitLoad::accepts(Time now, load_balancer::Duration wait) const {
+  return decayed_seconds(now) + seconds_of(wait) <= kMaxWaitSeconds;
+}
+
+void WaitLoad::add(Time now, load_balancer::Duration wait) {
+  seconds_ = decayed_seconds(now) + seconds_of(wait);
+  at_ = now;
+}
+
+double WaitLoad::decayed_seconds(Time now) const {
+  return seconds_ *
+         std::exp(-std::chrono::duration<double>(now - at_).count() / kWaitMemorySeconds);
+}
+
+}  // namespace gateway::http
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -22,7 +22,13 @@
 
 UpstreamConnection::UpstreamConnection(UpstreamConnectionOwner& owner, asio::io_context& io,
                                        load_balancer::HostId host, ConnectionId id)
-    : owner_(&owner), host_(host), id_(id), socket_(io), timeout_timer_(io), streaming_timer_(io) {}
+    : owner_(&owner),
+      host_(host),
+      id_(id),
+      socket_(io),
+      timeout_timer_(io),
+      streaming_timer_(io),
+      quiet_timer_(io) {}
 
 void UpstreamConnection::assign(AttemptKey key, HttpRequest request, AttemptTimeouts timeouts,
                                 std::shared_ptr<BodyStream> body, Clock::time_point now) {
@@ -86,9 +92,12 @@
   ++response_generation_;
   timeout_timer_.cancel();
   streaming_timer_.cancel();
+  quiet_timer_.cancel();
 }
 
 void UpstreamConnection::connect(const tcp::endpoint& endpoint) {
+  state_ = State::connecting;
+  endpoint_ = endpoint;
   // Nothing is written before the connection is open: whichever of the three time limits expires
   // first, the request was not executed.
   set_timeout(std::min({deadline_, sent_at_ + owner_->connect_timeout(), start_by_}),
@@ -112,6 +121,44 @@
   });
 }
 
+void UpstreamConnection::write_request_at(Clock::time_point quiet_at,
+                                          const tcp::endpoint& endpoint) {
+  state_ = State::awaiting_silence;
+  endpoint_ = endpoint;
+  set_timeout(std::min(deadline_, start_by_), Outcome::connect_failed);
+  quiet_timer_.expires_at(quiet_at);
+  quiet_timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (ec || self->state_ != State::awaiting_silence) {
+      return;
+    }
+    if (self->input().kind != Input::Kind::none) {
+      return self->on_input_before_request();
+    }
+    self->sent_at_ = Clock::now();  // the wait is no delay by the host
+    self->write_request();
+  });
+  watch_input();
+}
+
+void UpstreamConnection::on_input_before_request() {
+  const Input received = input();
+  if (received.kind == Input::Kind::bytes) {
+    owner_->on_unexpected_bytes(*this, received.bytes);
+  }
+  id_ = owner_->on_reconnect(*this, received.kind == Input::Kind::bytes
+                                        ? HostCloseReason::unexpected_bytes
+                                        : HostCloseReason::host_closed);
+  reconnect();
+}
+
+void UpstreamConnection::reconnect() {
+  quiet_timer_.cancel();
+  responses_ = 0;
+  error_code ignored;
+  socket_.close(ignored);
+  connect(endpoint_);
+}
+
 void UpstreamConnection::write_request() {
   state_ = State::writing;
   interim_responses_ = 0;
@@ -274,19 +321,29 @@
   idle_since_ = Clock::now();
   buffer_.shrink_to_fit();
   owner_->add_idle(shared_from_this());
-  watch_idle();
+  watch_input();
 }
 
-// An idle connection becomes readable when the host closes it. Unexpected bytes close it as well.
-void UpstreamConnection::watch_idle() {
-  if (watching_idle_) {
+// A connection without a request in flight becomes readable when the host closes it. Unexpected
+// bytes close it as well.
+void UpstreamConnection::watch_input() {
+  if (watching_input_) {
     return;
   }
-  watching_idle_ = true;
-  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
-    self->watching_idle_ = false;
+  watching_input_ = true;
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+    self->watching_input_ = false;
+    if (self->state_ != State::idle && self->state_ != State::awaiting_silence) {
+      return;
+    }
+    // A cancelled wait belongs to a socket that was replaced; an event may be false.
+    if (ec == asio::error::operation_aborted || self->input().kind == Input::Kind::none) {
+      return self->watch_input();
+    }
     if (self->state_ == State::idle) {
-      self->owner_->on_idle_readable(self);
+      self->owner_->on_idle_input(self);
+    } else {
+      self->on_input_before_request();
     }
   });
 }
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -74,8 +74,13 @@
   /// Whether connections to the host are kept for further requests.
   virtual bool keeps_connections(load_balancer::HostId host) const = 0;
   virtual void add_idle(const std::shared_ptr<UpstreamConnection>& connection) = 0;
-  /// An idle connection became readable: the host has closed it or sent unexpected bytes.
-  virtual void on_idle_readable(const std::shared_ptr<UpstreamConnection>& connection) = 0;
+  /// An idle connection has received input: the host has closed it or sent unexpected bytes.
+  virtual void on_idle_input(const std::shared_ptr<UpstreamConnection>& connection) = 0;
+  /// A connection that waits to write its request has received unexpected bytes.
+  virtual void on_unexpected_bytes(const UpstreamConnection& connection, std::size_t bytes) = 0;
+  /// The connection is closed and established anew under the id that is returned.
+  virtual ConnectionId on_reconnect(const UpstreamConnection& connection,
+                                    HostCloseReason reason) = 0;
   virtual void on_connected(const UpstreamConnection& connection) = 0;
   virtual void on_connection_closed(const UpstreamConnection& connection,
                                     HostCloseReason reason) = 0;
@@ -92,12 +97,15 @@
   UpstreamConnection(UpstreamConnectionOwner& owner, boost::asio::io_context& io,
                      load_balancer::HostId host, ConnectionId id);
 
-  /// Assigns an attempt. Must be followed by connect() on a new connection, by write_request() on
-  /// an idle one. With a `body` the request's body comes from there.
+  /// Assigns an attempt. Must be followed by connect() on a new connection, by write_request() or
+  /// write_request_at() on an idle one. With a `body` the request's body comes from there.
   void assign(AttemptKey key, HttpRequest request, AttemptTimeouts timeouts,
               std::shared_ptr<BodyStream> body, Clock::time_point now);
   void connect(const boost::asio::ip::tcp::endpoint& endpoint);
   void write_request();
+  /// Writes the request once the connection has been silent until `quiet_at`. If it receives
+  /// anything before, it is replaced by a new connection to `endpoint`.
+  void write_request_at(Clock::time_point quiet_at, const boost::asio::ip::tcp::endpoint& endpoint);
   /// Ends the attempt as cancelled.
   void cancel();
   /// Ends the attempt as connect_failed; called while nothing of it has been sent.
@@ -111,7 +119,9 @@
   std::uint64_t responses() const { return responses_; }
   Clock::time_point idle_since() const { return idle_since_; }
   /// Nothing of the request has been sent.
-  bool not_yet_sent() const { return state_ == State::connecting; }
+  bool not_yet_sent() const {
+    return state_ == State::connecting || state_ == State::awaiting_silence;
+  }
   /// What an idle connection has received. Checks the socket, as the event loop may not have
   /// reported it yet.
   struct Input {
@@ -122,7 +132,7 @@
   Input input();
 
  private:
-  enum class State { connecting, writing, reading, idle, closed };
+  enum class State { connecting, awaiting_silence, writing, reading, idle, closed };
   enum class Reuse { allowed, forbidden };
   enum class WriteKind { more_follows, end_of_request };
   enum class ParseResult { proceed, stop };
@@ -164,7 +174,9 @@
   void finish_attempt(Outcome outcome, Reuse reuse = Reuse::forbidden);
   void keep_or_close(Reuse reuse, HostCloseReason reason);
   void become_idle();
-  void watch_idle();
+  void watch_input();
+  void on_input_before_request();
+  void reconnect();
 
   UpstreamConnectionOwner* owner_;
   load_balancer::HostId host_;
@@ -172,6 +184,8 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timeout_timer_;
   boost::asio::steady_timer streaming_timer_;
+  boost::asio::steady_timer quiet_timer_;  // of State::awaiting_silence
+  boost::asio::ip::tcp::endpoint endpoint_;
   boost::beast::flat_buffer buffer_{kHeaderLimit + 2 * kReadChunk};
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   HeadScanner scanner_{HeadScanner::Kind::response};
@@ -198,7 +212,7 @@
   std::uint64_t body_size_ = 0;
   std::uint64_t responses_ = 0;
   int interim_responses_ = 0;
-  bool watching_idle_ = false;
+  bool watching_input_ = false;
   bool head_complete_ = false;
   bool receiving_ = false;
   bool parsing_ = false;  // parse_response() is running and calls receive() itself
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "http/upstream_pool.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <optional>
 #include <utility>
 
@@ -86,23 +87,28 @@
   if (entry == hosts_.end()) {
     return report_connect_failure(key, host);
   }
-  std::shared_ptr<UpstreamConnection> connection = take_idle(entry->second);
-  const bool is_new = !connection;
-  if (is_new) {
-    if (open_connections_ >= limits_.connections && !close_oldest_idle()) {
-      return report_connect_failure(key, host);
-    }
-    UpstreamConnectionOwner& owner = *this;
-    connection = std::make_shared<UpstreamConnection>(owner, io_, host, ++last_connection_id_);
-    ++open_connections_;
+  Host& target = entry->second;
+  std::shared_ptr<UpstreamConnection> connection = take_quiet(target);
+  if (connection) {
+    connection->assign(key, std::move(request), timeouts, std::move(body), now);
+    active_.emplace(key, connection);
+    return connection->write_request();
+  }
+  connection = take_next_quiet(target);
+  if (connection) {
+    connection->assign(key, std::move(request), timeouts, std::move(body), now);
+    active_.emplace(key, connection);
+    return connection->write_request_at(connection->idle_since() + kQuietPeriod, target.endpoint);
+  }
+  if (open_connections_ >= limits_.connections && !close_oldest_idle()) {
+    return report_connect_failure(key, host);
   }
+  UpstreamConnectionOwner& owner = *this;
+  connection = std::make_shared<UpstreamConnection>(owner, io_, host, ++last_connection_id_);
+  ++open_connections_;
   connection->assign(key, std::move(request), timeouts, std::move(body), now);
   active_.emplace(key, connection);
-  if (is_new) {
-    connection->connect(entry->second.endpoint);
-  } else {
-    connection->write_request();
-  }
+  connection->connect(target.endpoint);
 }
 
 void UpstreamPool::report_connect_failure(AttemptKey key, HostId host) {
@@ -179,7 +185,7 @@
   hosts_.at(connection->host()).idle.push_back(connection);
 }
 
-void UpstreamPool::on_idle_readable(const std::shared_ptr<UpstreamConnection>& connection) {
+void UpstreamPool::on_idle_input(const std::shared_ptr<UpstreamConnection>& connection) {
   if (const auto entry = hosts_.find(connection->host()); entry != hosts_.end()) {
     std::erase(entry->second.idle, connection);
   }
@@ -191,11 +197,22 @@
   if (input.kind != UpstreamConnection::Input::Kind::bytes) {
     return connection.close(HostCloseReason::host_closed);
   }
-  observer_.on_unexpected_bytes({connection.host(), connection.id(), input.bytes,
-                                 Clock::now() - connection.idle_since(), connection.responses()});
+  on_unexpected_bytes(connection, input.bytes);
   connection.close(HostCloseReason::unexpected_bytes);
 }
 
+void UpstreamPool::on_unexpected_bytes(const UpstreamConnection& connection, std::size_t bytes) {
+  observer_.on_unexpected_bytes({connection.host(), connection.id(), bytes,
+                                 Clock::now() - connection.idle_since(), connection.responses()});
+}
+
+ConnectionId UpstreamPool::on_reconnect(const UpstreamConnection& connection,
+                                        HostCloseReason reason) {
+  observer_.on_connection_closed(
+      {connection.host(), connection.id(), reason, connection.responses()});
+  return ++last_connection_id_;
+}
+
 void UpstreamPool::on_connected(const UpstreamConnection& connection) {
   observer_.on_connection_opened({connection.host(), connection.id()});
 }
@@ -207,24 +224,54 @@
       {connection.host(), connection.id(), reason, connection.responses()});
 }
 
-std::shared_ptr<UpstreamConnection> UpstreamPool::take_idle(Host& host) {
-  auto& idle = host.idle;
-  while (!idle.empty()) {
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    if (has_expired(*connection)) {
-      connection->close(HostCloseReason::idle_timeout);
-      continue;
+std::shared_ptr<UpstreamConnection> UpstreamPool::take_quiet(Host& host) {
+  const auto quiet_since = Clock::now() - kQuietPeriod;
+  for (;;) {
+    const auto first_unquiet = std::find_if(
+        host.idle.begin(), host.idle.end(),
+        [&](const auto& connection) { return connection->idle_since() > quiet_since; });
+    if (first_unquiet == host.idle.begin()) {
+      return nullptr;
+    }
+    const auto last_quiet = static_cast<std::size_t>(first_unquiet - host.idle.begin()) - 1;
+    if (auto connection = take_usable(host, last_quiet)) {
+      return connection;
+    }
+  }
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::take_next_quiet(Host& host) {
+  while (!host.idle.empty()) {
+    const auto now = Clock::now();
+    const Duration wait = host.idle.front()->idle_since() + kQuietPeriod - now;
+    if (open_connections_ < limits_.connections && !host.wait_load.accepts(now, wait)) {
+      host.wait_load = {};
+      return nullptr;
     }
-    const UpstreamConnection::Input input = connection->input();
-    if (input.kind == UpstreamConnection::Input::Kind::none) {
+    if (auto connection = take_usable(host, 0)) {
+      host.wait_load.add(now, wait);
       return connection;
     }
-    close_after_input(*connection, input);
   }
   return nullptr;
 }
 
+// Removes an idle connection. Returns null if it may not be used, and closes it then.
+std::shared_ptr<UpstreamConnection> UpstreamPool::take_usable(Host& host, std::size_t position) {
+  const auto connection = host.idle[position];
+  host.idle.erase(host.idle.begin() + static_cast<std::ptrdiff_t>(position));
+  if (has_expired(*connection)) {
+    connection->close(HostCloseReason::idle_timeout);
+    return nullptr;
+  }
+  const UpstreamConnection::Input input = connection->input();
+  if (input.kind == UpstreamConnection::Input::Kind::none) {
+    return connection;
+  }
+  close_after_input(*connection, input);
+  return nullptr;
+}
+
 bool UpstreamPool::has_expired(const UpstreamConnection& connection) const {
   if (limits_.idle_timeout <= Duration::zero()) {
     return false;
--- a/src/http/upstream_pool.hpp
+++ b/src/http/upstream_pool.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "http/body_stream.hpp"
+#include "http/connection_reuse.hpp"
 #include "http/messages.hpp"
 #include "http/upstream_connection.hpp"
 #include "load_balancer/load_balancer.hpp"
@@ -54,10 +55,12 @@
   void mark_all_not_serving();
   /// Removes a host without active attempts; its id may then be assigned to another host.
   void forget(load_balancer::HostId host);
-  /// Sends the request, on the most recently used idle connection if there is one, with the
-  /// remaining time in X-Deadline-Ms. Completes exactly once, unless stop() is called before. With
-  /// a `body` the request's body comes from there, and the response timeout and the elapsed time
-  /// count from its end.
+  /// Sends the request on an idle connection that has been silent for kQuietPeriod. Without one it
+  /// waits for the silence of another idle connection, or opens a new one if there is none or if
+  /// the attempts have waited too much: the connections then are too few for the load. The
+  /// remaining time is sent in X-Deadline-Ms. Completes exactly once, unless stop() is called
+  /// before. With a `body` the request's body comes from there, and the response timeout and the
+  /// elapsed time count from its end.
   void start(AttemptKey key, load_balancer::HostId host, HttpRequest request, Timeouts timeouts,
              std::shared_ptr<BodyStream> body = nullptr);
   /// Completes an attempt as cancelled; ignores an unknown or finished one.
@@ -83,7 +86,8 @@
   struct Host {
     boost::asio::ip::tcp::endpoint endpoint;
     bool serving = false;
-    std::vector<std::shared_ptr<UpstreamConnection>> idle;  // the most recently used last
+    std::vector<std::shared_ptr<UpstreamConnection>> idle;  // in the order of their last response
+    WaitLoad wait_load;
   };
   struct KeyHash {
     std::size_t operator()(const AttemptKey& key) const {
@@ -99,14 +103,21 @@
   void report(AttemptCompletion completion) override;
   bool keeps_connections(load_balancer::HostId host) const override;
   void add_idle(const std::shared_ptr<UpstreamConnection>& connection) override;
-  void on_idle_readable(const std::shared_ptr<UpstreamConnection>& connection) override;
+  void on_idle_input(const std::shared_ptr<UpstreamConnection>& connection) override;
+  void on_unexpected_bytes(const UpstreamConnection& connection, std::size_t bytes) override;
+  ConnectionId on_reconnect(const UpstreamConnection& connection, HostCloseReason reason) override;
   void on_connected(const UpstreamConnection& connection) override;
   void on_connection_closed(const UpstreamConnection& connection, HostCloseReason reason) override;
 
   template <class Predicate>
   void fail_unsent_where(Predicate predicate);
   void report_connect_failure(AttemptKey key, load_balancer::HostId host);
-  std::shared_ptr<UpstreamConnection> take_idle(Host& host);
+  // An idle connection that has been silent for kQuietPeriod: the most recently used of them.
+  std::shared_ptr<UpstreamConnection> take_quiet(Host& host);
+  // The idle connection that will have been silent for kQuietPeriod next, if waiting for it is
+  // better than a new connection.
+  std::shared_ptr<UpstreamConnection> take_next_quiet(Host& host);
+  std::shared_ptr<UpstreamConnection> take_usable(Host& host, std::size_t position);
   bool close_oldest_idle();
   /// Closes an idle connection that has received the input.
   void close_after_input(UpstreamConnection& connection, const UpstreamConnection::Input& input);
--- a/src/lab/live/gateway_process.hpp
+++ b/src/lab/live/gateway_process.hpp
@@ -69,8 +69,13 @@
 
 std::string text_of(const boost::asio::ip::tcp::endpoint& endpoint);  // address:port
 
-// A loopback address whose port was free at the time of the call; another process may bind it
-// since.
-boost::asio::ip::tcp::endpoint free_address();
+// A port of the loopback address `at` that was free at the time of the call; another process may
+// bind it since.
+boost::asio::ip::tcp::endpoint free_address(
+    const boost::asio::ip::address_v4& at = boost::asio::ip::address_v4::loopback());
+
+// An address of 127.0.0.0/8 that no other running process of the laboratory gets, so that runs
+// beside each other do not choose the same ports.
+boost::asio::ip::address_v4 loopback_address_of_this_process();
 
 }  // namespace gateway::lab
--- a/src/lab/soak/soak_run.cpp
+++ b/src/lab/soak/soak_run.cpp
@@ -122,8 +122,8 @@
                    std::size_t index) {
     GatewayProcess::Config config;
     config.name = "n" + std::to_string(index);
-    config.listen = free_address();
-    config.admin = free_address();
+    config.listen = free_address(loopback_address_of_this_process());
+    config.admin = free_address(loopback_address_of_this_process());
     config.discovery = discovery_.endpoint();
     config.folder = folder / config.name;
     config.descriptors = plan_.descriptors;
--- a/src/load_balancer/connection_tracker.cpp
+++ b/src/load_balancer/connection_tracker.cpp
@@ -1,5 +1,8 @@
 #include "load_balancer/connection_tracker.hpp"
 
+#include <algorithm>
+#include <cstddef>
+
 namespace load_balancer {
 namespace {
 
@@ -32,7 +35,15 @@
   }
 }
 
-void ConnectionTracker::on_attempt_result(const Attempt& attempt, AttemptOutcome outcome) {
+void ConnectionTracker::on_attempt_result(Host& host, const Attempt& attempt,
+                                          AttemptOutcome outcome) {
+  const bool may_have_response =
+      outcome == AttemptOutcome::success || outcome == AttemptOutcome::rejected_by_host ||
+      outcome == AttemptOutcome::server_error || outcome == AttemptOutcome::bad_request;
+  std::erase_if(host.quiet_at, [&](Time quiet_at) { return quiet_at <= context_.now; });
+  if (may_have_response && context_.settings.connection_quiet_period > Duration{}) {
+    host.quiet_at.push_back(context_.now + context_.settings.connection_quiet_period);
+  }
   const bool is_lost = outcome == AttemptOutcome::timeout || outcome == AttemptOutcome::reset;
   if (is_lost || outcome == AttemptOutcome::success || outcome == AttemptOutcome::server_error ||
       outcome == AttemptOutcome::rejected_by_host) {
@@ -67,6 +78,16 @@
                             context_.settings.streams_per_connection;
 }
 
+bool ConnectionTracker::has_quiet_connection(const Host& host) const {
+  if (!has_open_connection(host)) {
+    return false;
+  }
+  const auto first_unquiet =
+      std::upper_bound(host.quiet_at.begin(), host.quiet_at.end(), context_.now);
+  const std::ptrdiff_t unquiet = host.quiet_at.end() - first_unquiet;
+  return host.in_flight + unquiet < host.desired_connections;
+}
+
 std::size_t ConnectionTracker::idle_step(const Host& host) const {
   std::size_t step = 0;
   if (!has_free_stream(host) || host.in_flight > 0) {
--- a/src/load_balancer/connection_tracker.hpp
+++ b/src/load_balancer/connection_tracker.hpp
@@ -18,6 +18,8 @@
   bool has_open_connection(const Host& host) const {
     return has_free_stream(host) && !likely_closed(idle_step(host));
   }
+  // True if in addition such a connection has kept its quiet period.
+  bool has_quiet_connection(const Host& host) const;
   // True if a connection with a free stream is open, or a new one may be opened.
   bool may_use(const Host& host) const {
     return context_.now >= host.connect_backoff_until || has_open_connection(host);
@@ -25,8 +27,9 @@
   // Sets the attempt's idle_step and new_connection and counts the connection that it uses. Closes
   // the host's idle connections first if they are likely closed by others.
   void on_attempt_sent(Host& host, HostId id, Attempt& attempt);
-  // Updates the loss rate of the idle time of the attempt's connection.
-  void on_attempt_result(const Attempt& attempt, AttemptOutcome outcome);
+  // Updates the loss rate of the idle time of the attempt's connection, and begins the quiet period
+  // of a connection that carried a whole response.
+  void on_attempt_result(Host& host, const Attempt& attempt, AttemptOutcome outcome);
   // Closes unused connections to hosts outside the subset. To be called every kSweepInterval.
   void sweep();
 
--- a/src/load_balancer/host.hpp
+++ b/src/load_balancer/host.hpp
@@ -52,6 +52,7 @@
 
   // Connections.
   int desired_connections = 0;           // connections that should be open
+  std::vector<Time> quiet_at;            // ends of the quiet periods of idle connections, ascending
   Time connect_backoff_until{};          // no new connection is opened before
   int consecutive_connect_failures = 0;  // connect_failed outcomes in a row
 
--- a/src/load_balancer/host_selector.cpp
+++ b/src/load_balancer/host_selector.cpp
@@ -18,6 +18,9 @@
 // Added to 1 for a host with an open connection, which saves a handshake, times the uncertainty of
 // the own traffic: it counts only with few requests.
 constexpr double kOpenConnectionPreference = 2;
+// Added to 1 for a host with a connection that has kept its quiet period: on another one the
+// attempt would wait for the silence.
+constexpr double kQuietConnectionPreference = 4;
 
 // Hosts that serve a key, so that few hosts need its cached data.
 constexpr std::size_t kAffinityHosts = 3;
@@ -159,13 +162,23 @@
   const double zone_preference = !host.local              ? 1
                                  : hosts.is_large_fleet() ? kLargeFleetZonePreference
                                                           : kLocalZonePreference;
-  const double preference =
-      zone_preference *
-      (connections.has_open_connection(host) ? 1 + kOpenConnectionPreference * uncertainty : 1);
-  return preference * host_factor / std::max(host.relative_latency * host.relative_latency, 0.01) *
+  return zone_preference * connection_preference(host) * host_factor /
+         std::max(host.relative_latency * host.relative_latency, 0.01) *
          (1 - uncertainty + uncertainty * free_fraction * free_fraction * free_fraction);
 }
 
+double HostSelector::connection_preference(const Host& host) const {
+  double preference = 1;
+  if (connections.has_open_connection(host)) {
+    preference += kOpenConnectionPreference * admission.uncertainty();
+  }
+  if (context.settings.connection_quiet_period > Duration{} &&
+      connections.has_quiet_connection(host)) {
+    preference += kQuietConnectionPreference;
+  }
+  return preference;
+}
+
 // The first attempt of a request prefers an idle host that is warming up, the more often the less
 // traffic the gateway has. Among a hundred hosts a gateway with few requests would otherwise draw
 // the warming host that its budget allows only once in half a minute, and the host would not warm
--- a/src/load_balancer/host_selector.hpp
+++ b/src/load_balancer/host_selector.hpp
@@ -43,6 +43,8 @@
   }
   // Relative probability of the host among idle ones.
   double weight(const Host& host, const ActiveRequest& request) const;
+  // Factor of the selection weight for the host's connections.
+  double connection_preference(const Host& host) const;
   bool is_allowed(const ActiveRequest& request, const Host& host) const;
   // Number of hosts that serve the key of the request; 0 without a key or key affinity. Counts the
   // key with many gateways.
--- a/src/load_balancer/request_scheduler.cpp
+++ b/src/load_balancer/request_scheduler.cpp
@@ -163,7 +163,7 @@
   if (attempt.new_connection && result.outcome == AttemptOutcome::success) {
     host.consecutive_connect_failures = 0;
   }
-  connections.on_attempt_result(attempt, result.outcome);
+  connections.on_attempt_result(host, attempt, result.outcome);
   const bool effect_unknown = result.outcome == AttemptOutcome::timeout ||
                               result.outcome == AttemptOutcome::reset ||
                               result.outcome == AttemptOutcome::cancelled;
--- a/tests/gateway/races_test.cpp
+++ b/tests/gateway/races_test.cpp
@@ -609,13 +609,13 @@
   EXPECT_FALSE(scripted.calls[0]->closed_by_peer);
   scripted.respond(0, 2, false, json::array({target("s-0", hosts[0]->endpoint, "a", "DRAINING")}));
   ASSERT_TRUE(until([&] { return scripted.calls[0]->closed_by_peer; }));
-  for (int i = 0; i < 6; ++i) {
-    EXPECT_EQ(send_request(request_text("read")).body(), "1");
-  }
   scripted.respond(1, 2, false, json::array());
   ASSERT_TRUE(until([&] { return scripted.calls.size() >= 3; }));
   EXPECT_NE(scripted.request_targets[2].find("since=2&timeout_ms=20000"), std::string::npos)
       << scripted.request_targets[2];
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(send_request(request_text("read")).body(), "1");
+  }
 }
 
 // After a reload the first call to the new discovery server gets no response, the second one does.
