--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -3,6 +3,7 @@
 #include "http/upstream_connection.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
@@ -20,8 +21,14 @@
 using tcp = asio::ip::tcp;
 
 UpstreamConnection::UpstreamConnection(UpstreamConnectionOwner& owner, asio::io_context& io,
-                                       load_balancer::HostId host)
-    : owner_(&owner), host_(host), socket_(io), timeout_timer_(io), streaming_timer_(io) {}
+                                       load_balancer::HostId host, ConnectionId id)
+    : owner_(&owner),
+      host_(host),
+      id_(id),
+      socket_(io),
+      timeout_timer_(io),
+      streaming_timer_(io),
+      quiet_timer_(io) {}
 
 void UpstreamConnection::assign(AttemptKey key, HttpRequest request, AttemptTimeouts timeouts,
                                 std::shared_ptr<BodyStream> body, Clock::time_point now) {
@@ -42,7 +49,7 @@
   finish_attempt(Outcome::connect_failed);
 }
 
-void UpstreamConnection::close() {
+void UpstreamConnection::close(HostCloseReason reason) {
   if (state_ == State::closed) {
     return;
   }
@@ -50,7 +57,7 @@
   cancel_timers();
   error_code ignored;
   socket_.close(ignored);
-  owner_->on_connection_closed();
+  owner_->on_connection_closed(*this, reason);
   release_streams();
 }
 
@@ -85,9 +92,12 @@
   ++response_generation_;
   timeout_timer_.cancel();
   streaming_timer_.cancel();
+  quiet_timer_.cancel();
 }
 
 void UpstreamConnection::connect(const tcp::endpoint& endpoint) {
+  state_ = State::connecting;
+  endpoint_ = endpoint;
   // Nothing is written before the connection is open: whichever of the three time limits expires
   // first, the request was not executed.
   set_timeout(std::min({deadline_, sent_at_ + owner_->connect_timeout(), start_by_}),
@@ -106,10 +116,49 @@
     }
     error_code ignored;
     self->socket_.set_option(tcp::no_delay(true), ignored);
+    self->owner_->on_connected(*self);
     self->write_request();
   });
 }
 
+void UpstreamConnection::write_request_at(Clock::time_point quiet_at,
+                                          const tcp::endpoint& endpoint) {
+  state_ = State::awaiting_silence;
+  endpoint_ = endpoint;
+  set_timeout(std::min(deadline_, start_by_), Outcome::connect_failed);
+  quiet_timer_.expires_at(quiet_at);
+  quiet_timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (ec || self->state_ != State::awaiting_silence) {
+      return;
+    }
+    if (self->input().kind != Input::Kind::none) {
+      return self->on_input_before_request();
+    }
+    self->sent_at_ = Clock::now();  // the wait is no delay by the host
+    self->write_request();
+  });
+  watch_input();
+}
+
+void UpstreamConnection::on_input_before_request() {
+  const Input received = input();
+  if (received.kind == Input::Kind::bytes) {
+    owner_->on_unexpected_bytes(*this, received.bytes);
+  }
+  id_ = owner_->on_reconnect(*this, received.kind == Input::Kind::bytes
+                                        ? HostCloseReason::unexpected_bytes
+                                        : HostCloseReason::host_closed);
+  reconnect();
+}
+
+void UpstreamConnection::reconnect() {
+  quiet_timer_.cancel();
+  responses_ = 0;
+  error_code ignored;
+  socket_.close(ignored);
+  connect(endpoint_);
+}
+
 void UpstreamConnection::write_request() {
   state_ = State::writing;
   interim_responses_ = 0;
@@ -232,10 +281,10 @@
 void UpstreamConnection::finish_attempt(Outcome outcome, Reuse reuse) {
   const auto self = shared_from_this();
   if (response_stream_) {
-    return close();
+    return close(HostCloseReason::stream_ended);
   }
   AttemptCompletion completion{key_,         host_, outcome, Clock::now() - sent_at_,
-                               std::nullopt, {},    nullptr};
+                               std::nullopt, {},    id_,     nullptr};
   if (outcome == Outcome::success || outcome == Outcome::rejected_by_host) {
     completion.load = load_report_of(response_);
   }
@@ -245,16 +294,22 @@
   }
   release_streams();
   owner_->release_attempt(key_);
-  keep_or_close(reuse);
+  keep_or_close(reuse, outcome == Outcome::success || outcome == Outcome::rejected_by_host
+                           ? HostCloseReason::response_closes
+                           : HostCloseReason::attempt_ended);
   owner_->report(std::move(completion));
 }
 
-void UpstreamConnection::keep_or_close(Reuse reuse) {
-  if (reuse == Reuse::allowed && owner_->keeps_connections(host_)) {
-    become_idle();
-  } else {
-    close();
+// `reason` is that of a close because the connection may not be reused.
+void UpstreamConnection::keep_or_close(Reuse reuse, HostCloseReason reason) {
+  if (reuse != Reuse::allowed) {
+    return close(reason);
+  }
+  ++responses_;
+  if (!owner_->keeps_connections(host_)) {
+    return close(HostCloseReason::not_in_use);
   }
+  become_idle();
 }
 
 void UpstreamConnection::become_idle() {
@@ -266,29 +321,72 @@
   idle_since_ = Clock::now();
   buffer_.shrink_to_fit();
   owner_->add_idle(shared_from_this());
-  watch_idle();
+  watch_input();
 }
 
-// An idle connection becomes readable when the host closes it. Unexpected data closes it as well.
-void UpstreamConnection::watch_idle() {
-  if (watching_idle_) {
+// A connection without a request in flight becomes readable when the host closes it. Unexpected
+// bytes close it as well.
+void UpstreamConnection::watch_input() {
+  if (watching_input_) {
     return;
   }
-  watching_idle_ = true;
-  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
-    self->watching_idle_ = false;
+  watching_input_ = true;
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+    self->watching_input_ = false;
+    if (self->state_ != State::idle && self->state_ != State::awaiting_silence) {
+      return;
+    }
+    // A cancelled wait belongs to a socket that was replaced; an event may be false.
+    if (ec == asio::error::operation_aborted || self->input().kind == Input::Kind::none) {
+      return self->watch_input();
+    }
     if (self->state_ == State::idle) {
-      self->owner_->remove_idle(self);
+      self->owner_->on_idle_input(self);
+    } else {
+      self->on_input_before_request();
     }
   });
 }
 
-bool UpstreamConnection::is_usable() {
-  char byte = 0;
-  error_code ec;
-  socket_.non_blocking(true, ec);
-  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-  return ec == asio::error::would_block || ec == asio::error::try_again;
+UpstreamConnection::Input UpstreamConnection::input() {
+  std::array<char, kReadChunk> bytes;
+  for (;;) {
+    error_code ec;
+    socket_.non_blocking(true, ec);
+    const std::size_t received =
+        socket_.receive(asio::buffer(bytes), tcp::socket::message_peek, ec);
+    if (ec == asio::error::interrupted) {
+      continue;
+    }
+    if (ec == asio::error::would_block || ec == asio::error::try_again) {
+      return {Input::Kind::none, 0};
+    }
+    return received > 0 ? Input{Input::Kind::bytes, received} : Input{Input::Kind::closed, 0};
+  }
+}
+
+const char* name_of(HostCloseReason reason) {
+  switch (reason) {
+    case HostCloseReason::host_closed:
+      return "host_closed";
+    case HostCloseReason::unexpected_bytes:
+      return "unexpected_bytes";
+    case HostCloseReason::response_closes:
+      return "response_closes";
+    case HostCloseReason::attempt_ended:
+      return "attempt_ended";
+    case HostCloseReason::stream_ended:
+      return "stream_ended";
+    case HostCloseReason::idle_timeout:
+      return "idle_timeout";
+    case HostCloseReason::no_capacity:
+      return "no_capacity";
+    case HostCloseReason::not_in_use:
+      return "not_in_use";
+    case HostCloseReason::shutdown:
+      return "shutdown";
+  }
+  return "unknown";
 }
 
 }  // namespace gateway::http
