Writes on sockets: a short write no longer stalls, an interrupted read closes no client

Callers saw 502, 503 and connections that broke off, and at half of all writes cut short nothing was served, although every connection was intact.

Cause: after a short write Asio's composed write waits for an edge of writability, and a socket whose buffer is not full never gets one (epoll, edge triggered). A client's session closed on any read error but would-block, EINTR too; closing a connection stopped reading at EINTR and reset it.

Change: runtime::async_write_all writes until the socket is full and then waits for the present state of writability; used for clients, hosts, discovery and operators. EINTR repeats the call.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -6,10 +6,11 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <iterator>
 #include <utility>
 
+#include "runtime/socket_write.hpp"
+
 namespace gateway::admin {
 namespace {
 
@@ -102,9 +103,9 @@
     if (parser_.get().method() == beast_http::verb::head) {
       response_.body().clear();
     }
-    beast_http::async_write(
-        socket_, response_,
-        [self = shared_from_this()](error_code ec, std::size_t) { self->on_written(ec); });
+    output_ = runtime::text_of_message(response_);
+    runtime::async_write_all(socket_, output_,
+                             [self = shared_from_this()](error_code ec) { self->on_written(ec); });
   }
 
   void on_written(error_code ec) {
@@ -148,6 +149,7 @@
   AdminServer* server_;
   asio::steady_timer timer_;
   tcp::socket socket_;
+  std::string output_;  // being written
   boost::beast::flat_buffer buffer_{kMaxHeadBytes + kMaxBodyBytes};
   beast_http::request_parser<beast_http::string_body> parser_;
   beast_http::response<beast_http::string_body> response_;
--- a/src/discovery/discovery_call.cpp
+++ b/src/discovery/discovery_call.cpp
@@ -1,10 +1,11 @@
 #include "discovery/discovery_call.hpp"
 
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "runtime/socket_write.hpp"
+
 namespace gateway::discovery {
 namespace {
 
@@ -86,18 +87,18 @@
 }
 
 void DiscoveryCall::write() {
-  beast_http::async_write(
-      socket_, request_, [self = shared_from_this()](error_code ec, std::size_t) {
-        if (!self->observer_) {
-          return;
-        }
-        if (ec) {
-          return self->finish(std::nullopt);
-        }
-        beast_http::async_read(
-            self->socket_, self->buffer_, *self->parser_,
-            [self](error_code read_error, std::size_t) { self->on_response(read_error); });
-      });
+  output_ = runtime::text_of_message(request_);
+  runtime::async_write_all(socket_, output_, [self = shared_from_this()](error_code ec) {
+    if (!self->observer_) {
+      return;
+    }
+    if (ec) {
+      return self->finish(std::nullopt);
+    }
+    beast_http::async_read(
+        self->socket_, self->buffer_, *self->parser_,
+        [self](error_code read_error, std::size_t) { self->on_response(read_error); });
+  });
 }
 
 void DiscoveryCall::on_response(error_code ec) {
--- a/src/discovery/discovery_call.hpp
+++ b/src/discovery/discovery_call.hpp
@@ -84,6 +84,7 @@
   std::unique_ptr<runtime::Timer> timer_;
   boost::beast::flat_buffer buffer_;
   boost::beast::http::request<boost::beast::http::empty_body> request_;
+  std::string output_;  // being written
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
   RequestKind kind_ = RequestKind::full_list;
   std::uint64_t epoch_ = 0;
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -93,11 +93,10 @@
 void ClientSession::close_now() {
   error_code ec;
   socket_.shutdown(tcp::socket::shutdown_send, ec);
-  std::size_t received = 1;
-  for (std::size_t total = 0; !ec && received > 0 && total < kMaxDiscardedBytes;
-       total += received) {
+  std::size_t total = 0;
+  while ((!ec || ec == asio::error::interrupted) && total < kMaxDiscardedBytes) {
     buffer_.consume(buffer_.size());
-    received = socket_.read_some(buffer_.prepare(kReadChunk), ec);
+    total += socket_.read_some(buffer_.prepare(kReadChunk), ec);
   }
   close(ClientCloseReason::no_capacity);
 }
@@ -152,7 +151,8 @@
   }
   error_code ec;
   const std::size_t received = socket_.read_some(buffer_.prepare(kReadChunk), ec);
-  if (ec == asio::error::would_block || ec == asio::error::try_again) {
+  if (ec == asio::error::would_block || ec == asio::error::try_again ||
+      ec == asio::error::interrupted) {
     return wait_for_input();
   }
   if (ec) {
--- a/src/http/client_session_request.cpp
+++ b/src/http/client_session_request.cpp
@@ -147,8 +147,11 @@
   // There is no other output, so these few bytes are written at once. If they are lost, the client
   // sends its body after a timeout of its own.
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-  error_code ignored;
-  socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()), ignored);
+  std::string_view rest = kContinue;
+  error_code ec;
+  while (!rest.empty() && (!ec || ec == asio::error::interrupted)) {
+    rest.remove_prefix(socket_.write_some(asio::buffer(rest.data(), rest.size()), ec));
+  }
   return true;
 }
 
--- a/src/http/client_session_response.cpp
+++ b/src/http/client_session_response.cpp
@@ -1,13 +1,12 @@
 /// @file
 /// Writing a response to a client: complete, or streamed while its body arrives.
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/write.hpp>
 #include <utility>
 
 #include "http/body_codec.hpp"
 #include "http/client_session.hpp"
+#include "runtime/socket_write.hpp"
 
 namespace gateway::http {
 
@@ -42,16 +41,17 @@
 void ClientSession::write_complete_response() {
   response_.keep_alive(keep_alive_);
   response_.prepare_payload();
-  beast_http::async_write(socket_, response_,
-                          [self = shared_from_this()](error_code ec, std::size_t) {
-                            if (self->state_ != SessionState::writing_response) {
-                              return;
-                            }
-                            if (ec) {
-                              return self->close(ClientCloseReason::write_error);
-                            }
-                            self->on_response_written();
-                          });
+  output_ = serialize_head(response_) + response_.body();
+  runtime::async_write_all(socket_, output_, [self = shared_from_this()](error_code ec) {
+    self->output_ = {};
+    if (self->state_ != SessionState::writing_response) {
+      return;
+    }
+    if (ec) {
+      return self->close(ClientCloseReason::write_error);
+    }
+    self->on_response_written();
+  });
 }
 
 void ClientSession::on_response_written() {
@@ -132,9 +132,9 @@
 void ClientSession::write(std::string text, std::function<void()> on_written) {
   output_ = std::move(text);
   writing_ = true;
-  asio::async_write(
-      socket_, asio::buffer(output_),
-      [self = shared_from_this(), on_written = std::move(on_written)](error_code ec, std::size_t) {
+  runtime::async_write_all(
+      socket_, output_,
+      [self = shared_from_this(), on_written = std::move(on_written)](error_code ec) {
         self->writing_ = false;
         if (self->state_ != SessionState::streaming_response &&
             self->state_ != SessionState::writing_response) {
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -5,13 +5,12 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/write.hpp>
 #include <utility>
 
 #include "http/body_codec.hpp"
 #include "http/load_report.hpp"
 #include "http/upstream_timeouts.hpp"
+#include "runtime/socket_write.hpp"
 
 namespace gateway::http {
 
@@ -169,17 +168,18 @@
   // The time spent on connecting is subtracted.
   set_deadline_header(deadline_ - Clock::now());
   set_timeout(std::min(deadline_, start_by_), Outcome::timeout);
-  beast_http::async_write(socket_, request_,
-                          [self = shared_from_this()](error_code ec, std::size_t) {
-                            if (self->state_ != State::writing) {
-                              return;
-                            }
-                            // The last byte was not written, so the request was not executed.
-                            if (ec) {
-                              return self->finish_attempt(Outcome::connect_failed);
-                            }
-                            self->on_request_written();
-                          });
+  output_ = serialize_head(request_) + request_.body();
+  runtime::async_write_all(socket_, output_, [self = shared_from_this()](error_code ec) {
+    if (self->state_ != State::writing) {
+      return;
+    }
+    self->output_ = {};
+    // The last byte was not written, so the request was not executed.
+    if (ec) {
+      return self->finish_attempt(Outcome::connect_failed);
+    }
+    self->on_request_written();
+  });
 }
 
 void UpstreamConnection::on_request_written() {
@@ -247,21 +247,20 @@
   // The host does not execute the request before it has received the last byte.
   set_timeout(std::min(Clock::now() + kStallTimeout, start_by_),
               is_last ? Outcome::timeout : Outcome::connect_failed);
-  asio::async_write(socket_, asio::buffer(output_),
-                    [self = shared_from_this(), is_last](error_code ec, std::size_t) {
-                      if (self->state_ != State::writing) {
-                        return;
-                      }
-                      self->output_ = {};
-                      if (ec) {
-                        return self->finish_attempt(Outcome::connect_failed);
-                      }
-                      if (is_last) {
-                        self->on_streamed_request_written();
-                      } else {
-                        self->write_from_stream();
-                      }
-                    });
+  runtime::async_write_all(socket_, output_, [self = shared_from_this(), is_last](error_code ec) {
+    if (self->state_ != State::writing) {
+      return;
+    }
+    self->output_ = {};
+    if (ec) {
+      return self->finish_attempt(Outcome::connect_failed);
+    }
+    if (is_last) {
+      self->on_streamed_request_written();
+    } else {
+      self->write_from_stream();
+    }
+  });
 }
 
 void UpstreamConnection::on_streamed_request_written() {
