Stray responses: a new connection must be silent for 5 ms before its first request

Callers saw a response of no request when a host writes on a connection as soon as it accepts it.

Cause: the request was written as soon as the connection stood, before the host could have written anything, so nothing told its early response from the one that was asked for.

Change: a new connection waits for kConnectQuietPeriod; one that receives anything is replaced, three times at most for an attempt.

--- a/src/http/connection_reuse.hpp
+++ b/src/http/connection_reuse.hpp
@@ -15,6 +15,10 @@
 /// stray responses up to 100 ms late; the rest covers the delays of both processes.
 inline constexpr load_balancer::Duration kQuietPeriod = std::chrono::milliseconds(120);
 
+/// Silence of a new connection before its first request: hosts that write before they have read a
+/// request do so when they accept the connection.
+inline constexpr load_balancer::Duration kConnectQuietPeriod = std::chrono::milliseconds(5);
+
 /// How much the attempts to a host have waited for the silence of its connections. Few waits cost
 /// less than new connections, which the host has to pay for; many mean that the connections are too
 /// few for the load.
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "http/body_codec.hpp"
+#include "http/connection_reuse.hpp"
 #include "http/load_report.hpp"
 #include "http/upstream_timeouts.hpp"
 #include "runtime/socket_write.hpp"
@@ -19,6 +20,13 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+// New connections in place of one that received something before its request.
+constexpr int kMaxReconnects = 3;
+
+}  // namespace
+
 UpstreamConnection::UpstreamConnection(UpstreamConnectionOwner& owner, asio::io_context& io,
                                        load_balancer::HostId host, ConnectionId id)
     : owner_(&owner),
@@ -115,16 +123,22 @@
     }
     error_code ignored;
     self->socket_.set_option(tcp::no_delay(true), ignored);
+    self->idle_since_ = Clock::now();
     self->owner_->on_connected(*self);
-    self->write_request();
+    self->await_silence(self->idle_since_ + kConnectQuietPeriod);
   });
 }
 
 void UpstreamConnection::write_request_at(Clock::time_point quiet_at,
                                           const tcp::endpoint& endpoint) {
-  state_ = State::awaiting_silence;
   endpoint_ = endpoint;
   set_timeout(std::min(deadline_, start_by_), Outcome::connect_failed);
+  await_silence(quiet_at);
+}
+
+// Writes the request once nothing has been received until `quiet_at`.
+void UpstreamConnection::await_silence(Clock::time_point quiet_at) {
+  state_ = State::awaiting_silence;
   quiet_timer_.expires_at(quiet_at);
   quiet_timer_.async_wait([self = shared_from_this()](error_code ec) {
     if (ec || self->state_ != State::awaiting_silence) {
@@ -133,7 +147,9 @@
     if (self->input().kind != Input::Kind::none) {
       return self->on_input_before_request();
     }
-    self->sent_at_ = Clock::now();  // the wait is no delay by the host
+    if (self->responses_ > 0) {
+      self->sent_at_ = Clock::now();  // the wait is no delay by the host
+    }
     self->write_request();
   });
   watch_input();
@@ -144,6 +160,9 @@
   if (received.kind == Input::Kind::bytes) {
     owner_->on_unexpected_bytes(*this, received.bytes);
   }
+  if (++reconnects_ > kMaxReconnects) {
+    return finish_attempt(Outcome::connect_failed);
+  }
   id_ = owner_->on_reconnect(*this, received.kind == Input::Kind::bytes
                                         ? HostCloseReason::unexpected_bytes
                                         : HostCloseReason::host_closed);
@@ -161,6 +180,7 @@
 void UpstreamConnection::write_request() {
   state_ = State::writing;
   interim_responses_ = 0;
+  reconnects_ = 0;
   prepare_for_response();
   if (request_stream_) {
     return start_streaming_request();
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -175,6 +175,7 @@
   void keep_or_close(Reuse reuse, HostCloseReason reason);
   void become_idle();
   void watch_input();
+  void await_silence(Clock::time_point quiet_at);
   void on_input_before_request();
   void reconnect();
 
@@ -212,6 +213,7 @@
   std::uint64_t body_size_ = 0;
   std::uint64_t responses_ = 0;
   int interim_responses_ = 0;
+  int reconnects_ = 0;  // of the attempt
   bool watching_input_ = false;
   bool head_complete_ = false;
   bool receiving_ = false;
