Stray responses: a host that writes them late is distrusted while it goes on

Callers saw responses of other requests from hosts whose second response came 75 to 425 ms late, beyond what the quiet period covers; one host did so again and again.

Cause: what had come on one connection of a host told nothing about its other connections.

Change: HostTrust. Unexpected bytes more than half a quiet period after a response make the host distrusted for 60 s after the last ones: its connections carry one request each, and four of them stay open for 1 s to see whether it goes on. Bytes before any request lengthen the silence of the host's new connections to the quiet period for as long. Log event host_distrusted.

--- a/src/event_log/event.hpp
+++ b/src/event_log/event.hpp
@@ -26,12 +26,11 @@
   host_connection_closed,
   unexpected_bytes,
   host_distrusted,
-  host_trusted,
   host_state_changed,
   endpoint_list_received,
   discovery_failed,
 };
-inline constexpr std::size_t kEventKinds = 20;
+inline constexpr std::size_t kEventKinds = 19;
 
 /// How often an event occurs in a service without faults.
 enum class Frequency {
--- a/src/event_log/event_log.cpp
+++ b/src/event_log/event_log.cpp
@@ -19,8 +19,8 @@
     "client_connection_closed", "attempt_sent",           "attempt_retried",
     "attempt_hedged",           "attempt_succeeded",      "attempt_failed",
     "host_connection_opened",   "host_connection_closed", "unexpected_bytes",
-    "host_distrusted",          "host_trusted",           "host_state_changed",
-    "endpoint_list_received",   "discovery_failed"};
+    "host_distrusted",          "host_state_changed",     "endpoint_list_received",
+    "discovery_failed"};
 
 EventLog::Sink standard_error() {
   auto logger = std::make_shared<spdlog::logger>("gateway",
--- a/src/gateway/event_recorder.cpp
+++ b/src/gateway/event_recorder.cpp
@@ -226,4 +226,9 @@
                {"responses", static_cast<std::int64_t>(event.responses)}});
 }
 
+void EventRecorder::on_host_distrusted(load_balancer::HostId host) {
+  log_.record(EventKind::host_distrusted, Frequency::rare, "late_bytes",
+              {{"host", host_name(host)}});
+}
+
 }  // namespace gateway
--- a/src/gateway/event_recorder.hpp
+++ b/src/gateway/event_recorder.hpp
@@ -41,6 +41,7 @@
   void on_connection_opened(const http::ConnectionOpened& event) override;
   void on_connection_closed(const http::ConnectionClosed& event) override;
   void on_unexpected_bytes(const http::UnexpectedBytes& event) override;
+  void on_host_distrusted(load_balancer::HostId host) override;
 
  private:
   std::string_view host_name(load_balancer::HostId host) const;
--- a/src/http/connection_reuse.cpp
+++ b/src/http/connection_reuse.cpp
@@ -9,6 +9,11 @@
 // Of kWaitMemorySeconds. More makes a client that sends one request after another wait for each.
 constexpr double kMaxWaitSeconds = 0.2;
 
+// Since the last bytes that were too late.
+constexpr std::chrono::seconds kDistrustPeriod{60};
+// Bytes later than this are followed by others that kQuietPeriod does not cover.
+constexpr load_balancer::Duration kLateSilence = kQuietPeriod / 2;
+
 double seconds_of(load_balancer::Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -29,4 +34,13 @@
          std::exp(-std::chrono::duration<double>(now - at_).count() / kWaitMemorySeconds);
 }
 
+void HostTrust::on_unexpected_bytes(Time now, load_balancer::Duration silence,
+                                    bool after_response) {
+  if (!after_response) {
+    early_until_ = now + kDistrustPeriod;
+  } else if (silence > kLateSilence) {
+    distrusted_until_ = now + kDistrustPeriod;
+  }
+}
+
 }  // namespace gateway::http
--- a/src/http/connection_reuse.hpp
+++ b/src/http/connection_reuse.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 
 #include "load_balancer/load_balancer.hpp"
 
@@ -37,4 +38,31 @@
   Time at_{};
 };
 
+/// What a host has written that belongs to no request. A host that does so later than kQuietPeriod
+/// covers is distrusted: its connections carry one request each, as long as it goes on.
+class HostTrust {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  /// The host wrote bytes on a connection `silence` after the response, or after the connect if
+  /// the connection had carried none.
+  void on_unexpected_bytes(Time now, load_balancer::Duration silence, bool after_response);
+  /// Whether a connection that has carried a response may carry another request.
+  bool allows_reuse(Time now) const { return now >= distrusted_until_; }
+  /// Silence that a new connection keeps before its first request.
+  load_balancer::Duration connect_quiet_period(Time now) const {
+    return now < early_until_ ? kQuietPeriod : kConnectQuietPeriod;
+  }
+
+ private:
+  Time distrusted_until_{};
+  Time early_until_{};  // until then, the host is expected to write before any request
+};
+
+/// Connections of a distrusted host stay open without a request for this long, to see whether the
+/// host goes on.
+inline constexpr load_balancer::Duration kObservationPeriod = std::chrono::seconds(1);
+/// Of each distrusted host at the same time.
+inline constexpr std::size_t kMaxObservedConnections = 4;
+
 }  // namespace gateway::http
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "http/body_codec.hpp"
-#include "http/connection_reuse.hpp"
 #include "http/load_report.hpp"
 #include "http/upstream_timeouts.hpp"
 #include "runtime/socket_write.hpp"
@@ -125,7 +124,7 @@
     self->socket_.set_option(tcp::no_delay(true), ignored);
     self->idle_since_ = Clock::now();
     self->owner_->on_connected(*self);
-    self->await_silence(self->idle_since_ + kConnectQuietPeriod);
+    self->await_silence(self->idle_since_ + self->owner_->connect_quiet_period(self->host_));
   });
 }
 
@@ -402,6 +401,8 @@
       return "no_capacity";
     case HostCloseReason::not_in_use:
       return "not_in_use";
+    case HostCloseReason::host_distrusted:
+      return "host_distrusted";
     case HostCloseReason::shutdown:
       return "shutdown";
   }
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -63,6 +63,8 @@
  public:
   /// Time limit for a new connection.
   virtual load_balancer::Duration connect_timeout() const = 0;
+  /// Silence that a new connection keeps before its first request.
+  virtual load_balancer::Duration connect_quiet_period(load_balancer::HostId host) const = 0;
   virtual std::shared_ptr<BufferBudget> buffer_budget() const = 0;
   /// The attempt is finished; the connection calls report() for it afterwards.
   virtual void release_attempt(AttemptKey key) = 0;
--- a/src/http/upstream_observer.hpp
+++ b/src/http/upstream_observer.hpp
@@ -19,6 +19,7 @@
   idle_timeout,      ///< Before the host closes it.
   no_capacity,       ///< In favour of a connection to another host, or above a lowered limit.
   not_in_use,        ///< The host is not serving, or the balancer does not use the connection.
+  host_distrusted,   ///< The host wrote too late what belongs to no request.
   shutdown
 };
 const char* name_of(HostCloseReason reason);
@@ -55,6 +56,8 @@
   virtual void on_connection_opened(const ConnectionOpened& event) = 0;
   virtual void on_connection_closed(const ConnectionClosed& event) = 0;
   virtual void on_unexpected_bytes(const UnexpectedBytes& event) = 0;
+  /// From now on the connections to the host carry one request each.
+  virtual void on_host_distrusted(load_balancer::HostId host) = 0;
 
  protected:
   ~UpstreamObserver() = default;
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -182,7 +182,25 @@
 }
 
 void UpstreamPool::add_idle(const std::shared_ptr<UpstreamConnection>& connection) {
-  hosts_.at(connection->host()).idle.push_back(connection);
+  Host& host = hosts_.at(connection->host());
+  host.idle.push_back(connection);
+  if (!host.trust.allows_reuse(Clock::now())) {
+    limit_observed(host);
+  }
+}
+
+void UpstreamPool::limit_observed(Host& host) {
+  while (host.idle.size() > kMaxObservedConnections) {
+    const auto oldest = host.idle.front();
+    host.idle.erase(host.idle.begin());
+    oldest->close(HostCloseReason::host_distrusted);
+  }
+}
+
+Duration UpstreamPool::connect_quiet_period(HostId host) const {
+  const auto entry = hosts_.find(host);
+  return entry == hosts_.end() ? kConnectQuietPeriod
+                               : entry->second.trust.connect_quiet_period(Clock::now());
 }
 
 void UpstreamPool::on_idle_input(const std::shared_ptr<UpstreamConnection>& connection) {
@@ -202,8 +220,20 @@
 }
 
 void UpstreamPool::on_unexpected_bytes(const UpstreamConnection& connection, std::size_t bytes) {
-  observer_.on_unexpected_bytes({connection.host(), connection.id(), bytes,
-                                 Clock::now() - connection.idle_since(), connection.responses()});
+  const auto now = Clock::now();
+  const Duration silence = now - connection.idle_since();
+  observer_.on_unexpected_bytes(
+      {connection.host(), connection.id(), bytes, silence, connection.responses()});
+  const auto entry = hosts_.find(connection.host());
+  if (entry == hosts_.end()) {
+    return;
+  }
+  HostTrust& trust = entry->second.trust;
+  const bool was_trusted = trust.allows_reuse(now);
+  trust.on_unexpected_bytes(now, silence, connection.responses() > 0);
+  if (was_trusted && !trust.allows_reuse(now)) {
+    observer_.on_host_distrusted(connection.host());
+  }
 }
 
 ConnectionId UpstreamPool::on_reconnect(const UpstreamConnection& connection,
@@ -225,6 +255,9 @@
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::take_quiet(Host& host) {
+  if (!host.trust.allows_reuse(Clock::now())) {
+    return nullptr;
+  }
   const auto quiet_since = Clock::now() - kQuietPeriod;
   for (;;) {
     const auto first_unquiet = std::find_if(
@@ -241,6 +274,9 @@
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::take_next_quiet(Host& host) {
+  if (!host.trust.allows_reuse(Clock::now())) {
+    return nullptr;
+  }
   while (!host.idle.empty()) {
     const auto now = Clock::now();
     const Duration wait = host.idle.front()->idle_since() + kQuietPeriod - now;
@@ -301,7 +337,12 @@
     // set_limits() may have lowered the limit.
   }
   for (auto& [id, host] : hosts_) {
+    const bool allows_reuse = host.trust.allows_reuse(Clock::now());
     std::erase_if(host.idle, [&, serving = host.serving](const auto& connection) {
+      if (!allows_reuse && Clock::now() - connection->idle_since() >= kObservationPeriod) {
+        connection->close(HostCloseReason::host_distrusted);
+        return true;
+      }
       if (serving && !has_expired(*connection)) {
         return false;
       }
--- a/src/http/upstream_pool.hpp
+++ b/src/http/upstream_pool.hpp
@@ -88,6 +88,7 @@
     bool serving = false;
     std::vector<std::shared_ptr<UpstreamConnection>> idle;  // in the order of their last response
     WaitLoad wait_load;
+    HostTrust trust;
   };
   struct KeyHash {
     std::size_t operator()(const AttemptKey& key) const {
@@ -96,6 +97,7 @@
   };
 
   load_balancer::Duration connect_timeout() const override { return limits_.connect_timeout; }
+  load_balancer::Duration connect_quiet_period(load_balancer::HostId host) const override;
   std::shared_ptr<BufferBudget> buffer_budget() const override { return buffer_budget_; }
   void release_attempt(AttemptKey key) override { active_.erase(key); }
   void add_stream(const std::shared_ptr<UpstreamConnection>& connection) override;
@@ -122,6 +124,8 @@
   /// Closes an idle connection that has received the input.
   void close_after_input(UpstreamConnection& connection, const UpstreamConnection::Input& input);
   bool has_expired(const UpstreamConnection& connection) const;
+  // Closes the oldest idle connections of a distrusted host.
+  static void limit_observed(Host& host);
   void sweep();
 
   boost::asio::io_context& io_;
--- a/src/lab/soak/request_ledger.cpp
+++ b/src/lab/soak/request_ledger.cpp
@@ -150,9 +150,16 @@
   return total;
 }
 
+std::size_t RequestLedger::violations_after(double second) const {
+  return static_cast<std::size_t>(std::count_if(violation_seconds_.begin(),
+                                                violation_seconds_.end(),
+                                                [&](double at) { return at > second; }));
+}
+
 void RequestLedger::record(LedgerViolation violation, const std::string& id,
                            const std::string& detail) {
   ++counts_[static_cast<std::size_t>(violation)];
+  violation_seconds_.push_back(seconds_between(start_, Clock::now()));
   if (examples_.size() >= kMaxExamples) {
     return;
   }
--- a/src/lab/soak/request_ledger.hpp
+++ b/src/lab/soak/request_ledger.hpp
@@ -83,6 +83,8 @@
     return counts_[static_cast<std::size_t>(violation)];
   }
   std::size_t violations() const;
+  // Those later than this many seconds after the start.
+  std::size_t violations_after(double second) const;
   // The first violations, a line each: second, rule, request, what was seen.
   const std::vector<std::string>& examples() const { return examples_; }
 
@@ -94,6 +96,7 @@
   std::size_t retries_ = 0;
   std::size_t counts_[kLedgerViolations] = {};
   std::vector<std::string> examples_;
+  std::vector<double> violation_seconds_;
   Time start_ = Clock::now();
 };
 
--- a/tests/lab/stray_response_test.cpp
+++ b/tests/lab/stray_response_test.cpp
@@ -60,6 +60,20 @@
   EXPECT_GT(result.ledger.responses(200), plan.clients.requests * 8 / 10) << summary(result);
 }
 
+// Guards against a host whose stray responses come later than the quiet period covers: after the
+// first one that is seen from each host, none may be taken as a response.
+TEST(LateStrayResponse, DistrustsHostAfterTheFirstOne) {
+  SoakPlan plan;
+  plan.clients.rate = 100;
+  plan.clients.requests = 1500;
+  plan.host.stray = {StrayKind::ok, 0.2, milliseconds(75), milliseconds(425)};
+  const SoakResult result = run(plan);
+  EXPECT_TRUE(result.process_failures.empty()) << result.process_failures.front();
+  EXPECT_GT(result.strays_sent, 0u);
+  // A fifth of 16 responses a second are followed by a stray one, so each host is seen within 5 s.
+  EXPECT_EQ(result.ledger.violations_after(5), 0u) << summary(result);
+}
+
 constexpr milliseconds k1{1};
 constexpr milliseconds k100{100};
 INSTANTIATE_TEST_SUITE_P(
