--- a/src/http/connection_reuse.hpp
+++ b/src/http/connection_reuse.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 
 #include "load_balancer/load_balancer.hpp"
 
@@ -15,6 +16,10 @@
 /// stray responses up to 100 ms late; the rest covers the delays of both processes.
 inline constexpr load_balancer::Duration kQuietPeriod = std::chrono::milliseconds(120);
 
+/// Silence of a new connection before its first request: hosts that write before they have read a
+/// request do so when they accept the connection.
+inline constexpr load_balancer::Duration kConnectQuietPeriod = std::chrono::milliseconds(5);
+
 /// How much the attempts to a host have waited for the silence of its connections. Few waits cost
 /// less than new connections, which the host has to pay for; many mean that the connections are too
 /// few for the load.
@@ -33,4 +38,31 @@
   Time at_{};
 };
 
+/// What a host has written that belongs to no request. A host that does so later than kQuietPeriod
+/// covers is distrusted: its connections carry one request each, as long as it goes on.
+class HostTrust {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  /// The host wrote bytes on a connection `silence` after the response, or after the connect if
+  /// the connection had carried none.
+  void on_unexpected_bytes(Time now, load_balancer::Duration silence, bool after_response);
+  /// Whether a connection that has carried a response may carry another request.
+  bool allows_reuse(Time now) const { return now >= distrusted_until_; }
+  /// Silence that a new connection keeps before its first request.
+  load_balancer::Duration connect_quiet_period(Time now) const {
+    return now < early_until_ ? kQuietPeriod : kConnectQuietPeriod;
+  }
+
+ private:
+  Time distrusted_until_{};
+  Time early_until_{};  // until then, the host is expected to write before any request
+};
+
+/// Connections of a distrusted host stay open without a request for this long, to see whether the
+/// host goes on.
+inline constexpr load_balancer::Duration kObservationPeriod = std::chrono::seconds(1);
+/// Of each distrusted host at the same time.
+inline constexpr std::size_t kMaxObservedConnections = 4;
+
 }  // namespace gateway::http
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -5,13 +5,12 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/write.hpp>
 #include <utility>
 
 #include "http/body_codec.hpp"
 #include "http/load_report.hpp"
 #include "http/upstream_timeouts.hpp"
+#include "runtime/socket_write.hpp"
 
 namespace gateway::http {
 
@@ -20,6 +19,13 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+// New connections in place of one that received something before its request.
+constexpr int kMaxReconnects = 3;
+
+}  // namespace
+
 UpstreamConnection::UpstreamConnection(UpstreamConnectionOwner& owner, asio::io_context& io,
                                        load_balancer::HostId host, ConnectionId id)
     : owner_(&owner),
@@ -116,16 +122,22 @@
     }
     error_code ignored;
     self->socket_.set_option(tcp::no_delay(true), ignored);
+    self->idle_since_ = Clock::now();
     self->owner_->on_connected(*self);
-    self->write_request();
+    self->await_silence(self->idle_since_ + self->owner_->connect_quiet_period(self->host_));
   });
 }
 
 void UpstreamConnection::write_request_at(Clock::time_point quiet_at,
                                           const tcp::endpoint& endpoint) {
-  state_ = State::awaiting_silence;
   endpoint_ = endpoint;
   set_timeout(std::min(deadline_, start_by_), Outcome::connect_failed);
+  await_silence(quiet_at);
+}
+
+// Writes the request once nothing has been received until `quiet_at`.
+void UpstreamConnection::await_silence(Clock::time_point quiet_at) {
+  state_ = State::awaiting_silence;
   quiet_timer_.expires_at(quiet_at);
   quiet_timer_.async_wait([self = shared_from_this()](error_code ec) {
     if (ec || self->state_ != State::awaiting_silence) {
@@ -134,7 +146,9 @@
     if (self->input().kind != Input::Kind::none) {
       return self->on_input_before_request();
     }
-    self->sent_at_ = Clock::now();  // the wait is no delay by the host
+    if (self->responses_ > 0) {
+      self->sent_at_ = Clock::now();  // the wait is no delay by the host
+    }
     self->write_request();
   });
   watch_input();
@@ -145,6 +159,9 @@
   if (received.kind == Input::Kind::bytes) {
     owner_->on_unexpected_bytes(*this, received.bytes);
   }
+  if (++reconnects_ > kMaxReconnects) {
+    return finish_attempt(Outcome::connect_failed);
+  }
   id_ = owner_->on_reconnect(*this, received.kind == Input::Kind::bytes
                                         ? HostCloseReason::unexpected_bytes
                                         : HostCloseReason::host_closed);
@@ -162,6 +179,7 @@
 void UpstreamConnection::write_request() {
   state_ = State::writing;
   interim_responses_ = 0;
+  reconnects_ = 0;
   prepare_for_response();
   if (request_stream_) {
     return start_streaming_request();
@@ -169,17 +187,18 @@
   // The time spent on connecting is subtracted.
   set_deadline_header(deadline_ - Clock::now());
   set_timeout(std::min(deadline_, start_by_), Outcome::timeout);
-  beast_http::async_write(socket_, request_,
-                          [self = shared_from_this()](error_code ec, std::size_t) {
-                            if (self->state_ != State::writing) {
-                              return;
-                            }
-                            // The last byte was not written, so the request was not executed.
-                            if (ec) {
-                              return self->finish_attempt(Outcome::connect_failed);
-                            }
-                            self->on_request_written();
-                          });
+  output_ = serialize_head(request_) + request_.body();
+  runtime::async_write_all(socket_, output_, [self = shared_from_this()](error_code ec) {
+    if (self->state_ != State::writing) {
+      return;
+    }
+    self->output_ = {};
+    // The last byte was not written, so the request was not executed.
+    if (ec) {
+      return self->finish_attempt(Outcome::connect_failed);
+    }
+    self->on_request_written();
+  });
 }
 
 void UpstreamConnection::on_request_written() {
@@ -247,21 +266,20 @@
   // The host does not execute the request before it has received the last byte.
   set_timeout(std::min(Clock::now() + kStallTimeout, start_by_),
               is_last ? Outcome::timeout : Outcome::connect_failed);
-  asio::async_write(socket_, asio::buffer(output_),
-                    [self = shared_from_this(), is_last](error_code ec, std::size_t) {
-                      if (self->state_ != State::writing) {
-                        return;
-                      }
-                      self->output_ = {};
-                      if (ec) {
-                        return self->finish_attempt(Outcome::connect_failed);
-                      }
-                      if (is_last) {
-                        self->on_streamed_request_written();
-                      } else {
-                        self->write_from_stream();
-                      }
-                    });
+  runtime::async_write_all(socket_, output_, [self = shared_from_this(), is_last](error_code ec) {
+    if (self->state_ != State::writing) {
+      return;
+    }
+    self->output_ = {};
+    if (ec) {
+      return self->finish_attempt(Outcome::connect_failed);
+    }
+    if (is_last) {
+      self->on_streamed_request_written();
+    } else {
+      self->write_from_stream();
+    }
+  });
 }
 
 void UpstreamConnection::on_streamed_request_written() {
@@ -383,6 +401,8 @@
       return "no_capacity";
     case HostCloseReason::not_in_use:
       return "not_in_use";
+    case HostCloseReason::host_distrusted:
+      return "host_distrusted";
     case HostCloseReason::shutdown:
       return "shutdown";
   }
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -63,6 +63,8 @@
  public:
   /// Time limit for a new connection.
   virtual load_balancer::Duration connect_timeout() const = 0;
+  /// Silence that a new connection keeps before its first request.
+  virtual load_balancer::Duration connect_quiet_period(load_balancer::HostId host) const = 0;
   virtual std::shared_ptr<BufferBudget> buffer_budget() const = 0;
   /// The attempt is finished; the connection calls report() for it afterwards.
   virtual void release_attempt(AttemptKey key) = 0;
@@ -175,6 +177,7 @@
   void keep_or_close(Reuse reuse, HostCloseReason reason);
   void become_idle();
   void watch_input();
+  void await_silence(Clock::time_point quiet_at);
   void on_input_before_request();
   void reconnect();
 
@@ -212,6 +215,7 @@
   std::uint64_t body_size_ = 0;
   std::uint64_t responses_ = 0;
   int interim_responses_ = 0;
+  int reconnects_ = 0;  // of the attempt
   bool watching_input_ = false;
   bool head_complete_ = false;
   bool receiving_ = false;
