Streamed requests: a 200 before the request's last byte is no response to it

Callers of a long upload could be served a response that the host wrote for an earlier request, while their own was still being written.

Cause: the response to a streamed request is read from its first byte on, since a host may reject it early; a 200 was taken as well, although a host executes a request only after its last byte.

Evidence: StreamTest.DoesNotServeResponseThatPrecedesTheEndOfItsRequest, before: the client got "of another request" with status 200 after a fifth of its body.

Change: a 200 before the last write ends the attempt as never run and closes the connection; one that crosses the last write counts only once that write is done. Early rejections pass as before.

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -289,6 +289,9 @@
   sent_at_ = Clock::now();
   deadline_ = sent_at_ + response_timeout_;
   set_timeout(deadline_, Outcome::timeout);
+  if (std::exchange(response_held_, false)) {
+    on_received();
+  }
 }
 
 // --- The end of an attempt ---
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -159,6 +159,7 @@
   void on_received();
   void parse_response();
   ParseResult parse_head();
+  ParseResult on_early_success();
   ParseResult parse_body();
   void continue_body();
   void complete_response(Reuse reuse);
@@ -219,7 +220,8 @@
   bool watching_input_ = false;
   bool head_complete_ = false;
   bool receiving_ = false;
-  bool parsing_ = false;  // parse_response() is running and calls receive() itself
+  bool response_held_ = false;  // a head was parsed before the end of the last write
+  bool parsing_ = false;        // parse_response() is running and calls receive() itself
   bool last_write_started_ = false;
 };
 
--- a/src/http/upstream_response.cpp
+++ b/src/http/upstream_response.cpp
@@ -29,6 +29,7 @@
 void UpstreamConnection::prepare_for_response() {
   scanner_ = HeadScanner(HeadScanner::Kind::response);
   head_complete_ = false;
+  response_held_ = false;
   body_size_ = 0;
   buffered_body_ = {};
   ++response_generation_;
@@ -133,6 +134,9 @@
   // read.
   response_ = {};
   response_.base() = parser_->get().base();
+  if (state_ == State::writing && status() == 200) {
+    return on_early_success();
+  }
   if (status() / 100 != 1 && status() != 200 && !parser_->is_done() && has_long_body()) {
     finish_attempt(outcome_of_response());
     return ParseResult::stop;
@@ -140,6 +144,18 @@
   return ParseResult::proceed;
 }
 
+// A host executes a request only once it has the last byte. A response of status 200 before that
+// was meant for an earlier request.
+UpstreamConnection::ParseResult UpstreamConnection::on_early_success() {
+  if (last_write_started_) {
+    response_held_ = true;  // the last byte may have arrived: the end of the write decides
+    return ParseResult::stop;
+  }
+  owner_->on_unexpected_bytes(*this, buffer_.size());
+  finish_attempt(Outcome::connect_failed);
+  return ParseResult::stop;
+}
+
 UpstreamConnection::ParseResult UpstreamConnection::parse_body() {
   std::string body;
   error_code ec;
--- a/tests/gateway/stream_test.cpp
+++ b/tests/gateway/stream_test.cpp
@@ -334,6 +334,19 @@
       << "the host does not receive the whole body, so it does not execute the request";
 }
 
+// Guards against a response for an earlier request that arrives while this request is written: a
+// host executes a request only after its last byte.
+TEST_F(StreamTest, DoesNotServeResponseThatPrecedesTheEndOfItsRequest) {
+  start_with_raw_host();
+  auto c = begun_upload();
+  auto upstream = connection_with_request();
+  upstream->send(response_text(200, "", "of another request"));
+  ASSERT_TRUE(until([&] { return c->has("\r\n\r\n") || c->closed; }));
+  EXPECT_FALSE(c->has("of another request"));
+  EXPECT_TRUE(until([&] { return upstream->closed; }));
+  EXPECT_TRUE(c->has("503")) << c->received;
+}
+
 // Without memory for buffered bodies, even a short body is streamed.
 TEST_F(StreamTest, StreamsShortBodyWithoutBufferMemory) {
   waits.clients.body_bytes = 1;
