Discovery: an old list on a kept connection no longer replaces the newer one

Callers' requests could go to a draining host after discovery wrote an earlier list once more.

The next response on the kept connection was taken as the one asked for, and a lower version as a restart of discovery's version numbers, so the old list came into force.

Evidence: GatewayTest.IgnoresOldListOnKeptDiscoveryConnection, before: the draining host got requests again (and the watch never came back within 30 s).

Change: a lower version on a connection that has carried an earlier call closes it, and the whole list is asked for on a new one, whose first response can't be meant for an earlier call. Bytes behind a response close the connection.

--- a/src/discovery/discovery_call.cpp
+++ b/src/discovery/discovery_call.cpp
@@ -55,6 +55,7 @@
   kind_ = request.kind;
   epoch_ = request.epoch;
   is_retry_ = false;
+  ++requests_;
   request_ = {beast_http::verb::get, request.target, kHttp11};
   request_.set(beast_http::field::host,
                server_.address().to_string() + ":" + std::to_string(server_.port()));
@@ -111,7 +112,8 @@
 void DiscoveryCall::finish(const std::optional<EndpointList>& list) {
   timer_->cancel();
   error_code ignored;
-  if (!list || !parser_->get().keep_alive()) {
+  // Bytes after a response would be taken as the response to the next call.
+  if (!list || !parser_->get().keep_alive() || buffer_.size() > 0) {
     socket_.close(ignored);
   }
   observer_->on_call_finished(shared_from_this(), list);
--- a/src/discovery/discovery_call.hpp
+++ b/src/discovery/discovery_call.hpp
@@ -66,6 +66,8 @@
   void set_timeout(std::chrono::milliseconds timeout);
 
   bool is_connected() const { return socket_.is_open(); }
+  /// Whether the connection has carried no earlier request.
+  bool is_first_on_connection() const { return requests_ == 1; }
   RequestKind kind() const { return kind_; }
   std::uint64_t epoch() const { return epoch_; }
   /// Whether this call repeats one that was overdue or has failed. Reset by start().
@@ -89,6 +91,7 @@
   RequestKind kind_ = RequestKind::full_list;
   std::uint64_t epoch_ = 0;
   bool is_retry_ = false;
+  std::uint64_t requests_ = 0;  // on the connection
 };
 
 }  // namespace gateway::discovery
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -138,6 +138,11 @@
   if (!list) {
     return fail_watch();
   }
+  // An older version on a kept connection may be a response that was written for an earlier call. A
+  // new connection tells: its first response can't be.
+  if (version_ && list->version < *version_ && !call->is_first_on_connection()) {
+    return restart_on_new_connection();
+  }
   // A lower version means that discovery was restarted and its version numbers start again. A delta
   // to a list that the gateway does not have is discarded: hosts that were removed before it would
   // stay in the gateway's list permanently.
@@ -205,6 +210,11 @@
   callbacks_.on_endpoint_update(list);
 }
 
+void DiscoveryClient::restart_on_new_connection() {
+  cancel_and_reset(current_calls_.active);
+  request_from_current_server(RequestKind::full_list);
+}
+
 void DiscoveryClient::fail_watch() {
   cancel_and_reset(current_calls_.active);
   cancel_and_reset(new_server_calls_.active);
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -94,6 +94,7 @@
   void start_call(CallPointer& call, const boost::asio::ip::tcp::endpoint& server, RequestKind kind,
                   std::chrono::milliseconds wait);
   void fail_watch();
+  void restart_on_new_connection();
 
   boost::asio::io_context& io_;
   runtime::Clock& clock_;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -816,6 +816,26 @@
             std::set<std::string>{"s-1"});
 }
 
+// Guards against an old list that discovery writes on a kept connection, for which nobody asked: it
+// would bring a draining host back into use.
+TEST_F(GatewayTest, IgnoresOldListOnKeptDiscoveryConnection) {
+  start_with_two_hosts(always_reply(response_text(200, "", "ok")));
+  ASSERT_TRUE(until([&] { return discovery.pending_watches.size() == 1; }));
+  const auto watch = discovery.pending_watches[0];
+  const json old_list = {{"rev", 1}, {"all", true}, {"targets", discovery.list}};
+  discovery.list[0]["state"] = "DRAINING";
+  discovery.push({{"all", false}, {"targets", json::array({discovery.list[0]})}});
+  ASSERT_TRUE(until([&] { return discovery.pending_watches.size() == 1; }));
+  watch->reply(response_text(200, "", old_list.dump()));
+  ASSERT_TRUE(until([&] { return watch->closed_by_peer; }));
+  ASSERT_TRUE(until([&] { return discovery.pending_watches.size() == 2; }));
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_EQ(send_request(request_text("read")).result_int(), 200u);
+  }
+  EXPECT_EQ(std::set<std::string>(attempted_hosts.begin(), attempted_hosts.end()),
+            std::set<std::string>{"s-1"});
+}
+
 // The response takes 2.05 s, less than the 2.1 s after which a call is overdue. Discovery counts a
 // response as received once it is written: if the gateway aborted the call earlier, it would never
 // learn of the drain in it.
