Retry safety: no rejection where the client's retry may come after the deduplication window

A client that is told "rejected" repeats its keyed request; after the window the hosts have forgotten it and would execute it a second time.

Evidence: two tests, both failing before: a rejection 100 ms after the window, and one whose Retry-After of 500 ms leads past it.

Change: a request that may have run is rejected only if a retry after the longest Retry-After still begins within the window of its first attempt; otherwise it fails.

--- a/include/load_balancer/actions.hpp
+++ b/include/load_balancer/actions.hpp
@@ -33,8 +33,8 @@
 };
 
 // Respond to the client that the request was rejected. A retry is safe: no attempt can have run at
-// its host, or the class is idempotent, or it is deduplicated by all hosts and no attempt is in
-// flight.
+// its host, or the class is idempotent, or it is deduplicated by all hosts, no attempt is in flight
+// and the deduplication window is open for the retry.
 struct RejectRequest {
   RequestId request = 0;
   Duration retry_after{};  // wait before a retry that the client is asked for; zero: none
--- a/src/load_balancer/request_scheduler.cpp
+++ b/src/load_balancer/request_scheduler.cpp
@@ -221,19 +221,20 @@
 }
 
 // Sends a rejection if a retry by the client is safe: no attempt can have run at its host, or the
-// class is idempotent, or it is deduplicated by all hosts and no attempt is in flight. Otherwise
-// the request fails.
+// class is idempotent, or it is deduplicated by all hosts, no attempt is in flight and a retry
+// after the longest Retry-After comes within the deduplication window. Otherwise the request fails.
 void RequestScheduler::reject_or_fail(ActiveRequest& request, EndReason reason) {
   const ClassSettings& class_settings = context.classes[request.class_index].settings;
   bool may_have_run = false;
   for (std::uint32_t i = 0; i < request.attempt_count; ++i) {
     may_have_run |= request.attempts[i].may_have_run;
   }
-  const bool is_retry_safe = !may_have_run ||
-                             class_settings.idempotency == Idempotency::idempotent ||
-                             (class_settings.idempotency == Idempotency::deduplicated &&
-                              class_settings.deduplication_scope == DeduplicationScope::global &&
-                              request.attempts_in_flight == 0);
+  const bool is_retry_safe =
+      !may_have_run || class_settings.idempotency == Idempotency::idempotent ||
+      (class_settings.idempotency == Idempotency::deduplicated &&
+       class_settings.deduplication_scope == DeduplicationScope::global &&
+       request.attempts_in_flight == 0 &&
+       context.now + context.settings.max_retry_after <= selector_.latest_start(request));
   if (is_retry_safe) {
     send_rejection(request, reason);
   } else {
--- a/tests/load_balancer/rules_test.cpp
+++ b/tests/load_balancer/rules_test.cpp
@@ -336,6 +336,33 @@
   EXPECT_TRUE(d.rejected(id));
 }
 
+// Guards against a client that repeats a rejected request after the hosts have forgotten it: it
+// would be executed twice.
+TEST(RetrySafety, FailsGloballyDeduplicatedAfterItsWindow) {
+  Settings s = make_settings();
+  s.classes[2].deduplication_scope = DeduplicationScope::global;
+  s.classes[2].client_timeout = milliseconds(3000);
+  s.max_attempts = 1;
+  Driver d(s);
+  const RequestId id = d.request(2, milliseconds(3000));
+  d.advance(milliseconds(900));
+  d.report_result(d.last_sent(), AttemptOutcome::reset, false);
+  EXPECT_FALSE(d.rejected(id));
+  EXPECT_TRUE(d.failed(id));
+}
+
+TEST(RetrySafety, FailsGloballyDeduplicatedIfTheRetryMayComeAfterItsWindow) {
+  Settings s = make_settings();
+  s.classes[2].deduplication_scope = DeduplicationScope::global;
+  s.max_retry_after = milliseconds(500);
+  s.max_attempts = 1;
+  Driver d(s);
+  const RequestId id = d.request(2);
+  d.advance(milliseconds(400));
+  d.report_result(d.last_sent(), AttemptOutcome::reset, false);
+  EXPECT_TRUE(d.failed(id));
+}
+
 // --- Rule 3: draining and removed hosts; discovery ---
 
 TEST(Drains, SendsNothingToDrainingOrRemovedHost) {
