Limits: two processes with under 96 descriptors keep a limit of connections to hosts

With under 96 descriptors and two processes of one gateway the limit of connections to hosts wrapped around to a huge number, at 96 it was 0 and nothing was served.

Change: the difference ends at zero, and each process may open four connections at least.

--- a/src/gateway/resource_limits.cpp
+++ b/src/gateway/resource_limits.cpp
@@ -25,6 +25,9 @@
 // Client connections that each of two processes may have beyond the clients' third.
 constexpr std::size_t kExtraClientConnections = 8;
 
+// To hosts, for each of two processes with few descriptors.
+constexpr std::size_t kMinUpstreamConnections = 4;
+
 std::size_t fifths_of_descriptors(const config::Config& config, std::size_t fifths) {
   return (config.max_descriptors - kReservedDescriptors) * fifths / 5;
 }
@@ -37,7 +40,10 @@
   std::size_t connections = fifths_of_descriptors(config, kUpstreamFifths);
   if (role == ProcessRole::one_of_two) {
     const std::size_t clients = config.max_descriptors / kClientDivisor;
-    connections = (config.max_descriptors - clients - 2 * kReservedDescriptors) / 2;
+    const std::size_t not_for_hosts = clients + 2 * kReservedDescriptors;
+    connections =
+        config.max_descriptors > not_for_hosts ? (config.max_descriptors - not_for_hosts) / 2 : 0;
+    connections = std::max(connections, kMinUpstreamConnections);
   }
   return {connections, config.connect_timeout, config.balancer_settings.idle_connection_timeout};
 }
