Lint: names of static values, one function of main split, unused alias

Operators' calls that only show state are answered in a function of their own. No behaviour changes.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -93,6 +93,20 @@
        }});
 }
 
+// The calls that only show state are answered here, the others by the service.
+gateway::admin::AdminReply handle_admin_call(
+    const gateway::admin::AdminCall& call, gateway::admin::AdminService& service,
+    const std::optional<gateway::fleet_agent::FleetAgent>& agent,
+    const gateway::event_log::EventLog& log) {
+  if (agent && call.path == "/fleet" && call.method == "GET") {
+    return {200, agent->status_json(), {}};
+  }
+  if (call.path == "/events" && call.method == "GET") {
+    return {200, log.counters_json(), {}};
+  }
+  return service.handle(call);
+}
+
 int serve() {
   boost::asio::io_context io(1);
   // Before anything that takes time: without these handlers a signal ends the process at once.
@@ -125,13 +139,7 @@
   if (config.admin) {
     admin_server.emplace(io, *config.admin, gateway::admin::AdminServer::Limits{},
                          [&](const gateway::admin::AdminCall& call) {
-                           if (agent && call.path == "/fleet" && call.method == "GET") {
-                             return gateway::admin::AdminReply{200, agent->status_json(), {}};
-                           }
-                           if (call.path == "/events" && call.method == "GET") {
-                             return gateway::admin::AdminReply{200, log.counters_json(), {}};
-                           }
-                           return admin_service.handle(call);
+                           return handle_admin_call(call, admin_service, agent, log);
                          });
   }
   stop_signals.async_wait([&](boost::system::error_code ec, int) {
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -15,7 +15,6 @@
 namespace gateway::http {
 
 namespace asio = boost::asio;
-namespace beast_http = boost::beast::http;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -294,7 +294,7 @@
 
 // Removes an idle connection. Returns null if it may not be used, and closes it then.
 std::shared_ptr<UpstreamConnection> UpstreamPool::take_usable(Host& host, std::size_t position) {
-  const auto connection = host.idle[position];
+  auto connection = host.idle[position];
   host.idle.erase(host.idle.begin() + static_cast<std::ptrdiff_t>(position));
   if (has_expired(*connection)) {
     connection->close(HostCloseReason::idle_timeout);
--- a/src/lab/soak/discovery_server.cpp
+++ b/src/lab/soak/discovery_server.cpp
@@ -110,6 +110,7 @@
   accept();
 }
 
+// NOLINTNEXTLINE(bugprone-exception-escape): throws only when out of memory
 DiscoveryServer::~DiscoveryServer() {
   for (const auto& connection : std::exchange(connections_, {})) {
     connection->close(false);
--- a/src/lab/soak/discovery_server.hpp
+++ b/src/lab/soak/discovery_server.hpp
@@ -17,6 +17,7 @@
 class DiscoveryServer {
  public:
   explicit DiscoveryServer(boost::asio::io_context& io);
+  // NOLINTNEXTLINE(bugprone-exception-escape): throws only when out of memory
   ~DiscoveryServer();
   DiscoveryServer(const DiscoveryServer&) = delete;
   DiscoveryServer& operator=(const DiscoveryServer&) = delete;
--- a/src/lab/soak/soak_clients.cpp
+++ b/src/lab/soak/soak_clients.cpp
@@ -18,9 +18,9 @@
 }  // namespace
 
 const std::vector<SoakClass>& soak_classes() {
-  static const std::vector<SoakClass> classes{
+  static const std::vector<SoakClass> kClasses{
       {"status", Effect::safe}, {"consent", Effect::keyed}, {"seal", Effect::unsafe}};
-  return classes;
+  return kClasses;
 }
 
 SoakClients::SoakClients(boost::asio::io_context& io, ClientPlan plan,
--- a/tests/support/syscall_faults.cpp
+++ b/tests/support/syscall_faults.cpp
@@ -48,18 +48,18 @@
 }
 
 bool interrupts() {
-  static const double share = share_of("interrupt");
-  return draw(share);
+  static const double kShare = share_of("interrupt");
+  return draw(kShare);
 }
 
 bool shortens_write(std::size_t bytes) {
-  static const double share = share_of("short_write");
-  return bytes > 1 && draw(share);
+  static const double kShare = share_of("short_write");
+  return bytes > 1 && draw(kShare);
 }
 
 bool shortens_read(std::size_t bytes) {
-  static const double share = share_of("short_read");
-  return bytes > 1 && draw(share);
+  static const double kShare = share_of("short_read");
+  return bytes > 1 && draw(kShare);
 }
 
 }  // namespace
@@ -67,97 +67,97 @@
 extern "C" {
 
 ssize_t send(int fd, const void* data, size_t size, int flags) {
-  static const auto real = next<ssize_t (*)(int, const void*, size_t, int)>("send");
+  static const auto kReal = next<ssize_t (*)(int, const void*, size_t, int)>("send");
   if (is_tcp(fd)) {
     if (interrupts()) {
       return fail<ssize_t>(EINTR);
     }
     if (shortens_write(size)) {
-      return real(fd, data, size / 2, flags);
+      return kReal(fd, data, size / 2, flags);
     }
   }
-  return real(fd, data, size, flags);
+  return kReal(fd, data, size, flags);
 }
 
 ssize_t sendmsg(int fd, const msghdr* message, int flags) {
-  static const auto real = next<ssize_t (*)(int, const msghdr*, int)>("sendmsg");
+  static const auto kReal = next<ssize_t (*)(int, const msghdr*, int)>("sendmsg");
   if (!is_tcp(fd) || message->msg_iovlen == 0) {
-    return real(fd, message, flags);
+    return kReal(fd, message, flags);
   }
   if (interrupts()) {
     return fail<ssize_t>(EINTR);
   }
   if (!shortens_write(message->msg_iov[0].iov_len)) {
-    return real(fd, message, flags);
+    return kReal(fd, message, flags);
   }
   iovec first = message->msg_iov[0];
   first.iov_len /= 2;
   msghdr cut = *message;
   cut.msg_iov = &first;
   cut.msg_iovlen = 1;
-  return real(fd, &cut, flags);
+  return kReal(fd, &cut, flags);
 }
 
 ssize_t recv(int fd, void* data, size_t size, int flags) {
-  static const auto real = next<ssize_t (*)(int, void*, size_t, int)>("recv");
+  static const auto kReal = next<ssize_t (*)(int, void*, size_t, int)>("recv");
   if (is_tcp(fd)) {
     if (interrupts()) {
       return fail<ssize_t>(EINTR);
     }
     if (shortens_read(size)) {
-      return real(fd, data, std::min<size_t>(size, 7), flags);
+      return kReal(fd, data, std::min<size_t>(size, 7), flags);
     }
   }
-  return real(fd, data, size, flags);
+  return kReal(fd, data, size, flags);
 }
 
 ssize_t recvmsg(int fd, msghdr* message, int flags) {
-  static const auto real = next<ssize_t (*)(int, msghdr*, int)>("recvmsg");
+  static const auto kReal = next<ssize_t (*)(int, msghdr*, int)>("recvmsg");
   if (!is_tcp(fd) || message->msg_iovlen == 0) {
-    return real(fd, message, flags);
+    return kReal(fd, message, flags);
   }
   if (interrupts()) {
     return fail<ssize_t>(EINTR);
   }
   if (!shortens_read(message->msg_iov[0].iov_len)) {
-    return real(fd, message, flags);
+    return kReal(fd, message, flags);
   }
   iovec first = message->msg_iov[0];
   first.iov_len = std::min<size_t>(first.iov_len, 7);
   msghdr cut = *message;
   cut.msg_iov = &first;
   cut.msg_iovlen = 1;
-  return real(fd, &cut, flags);
+  return kReal(fd, &cut, flags);
 }
 
 int accept(int fd, sockaddr* address, socklen_t* size) {
-  static const auto real = next<int (*)(int, sockaddr*, socklen_t*)>("accept");
-  static const double share = share_of("accept");
+  static const auto kReal = next<int (*)(int, sockaddr*, socklen_t*)>("accept");
+  static const double kShare = share_of("accept");
   static constexpr int kErrors[] = {ECONNABORTED, ENFILE, ENOBUFS, EINTR};
   static std::size_t count = 0;
-  return draw(share) ? fail<int>(kErrors[count++ % 4]) : real(fd, address, size);
+  return draw(kShare) ? fail<int>(kErrors[count++ % 4]) : kReal(fd, address, size);
 }
 
 int connect(int fd, const sockaddr* address, socklen_t size) {
-  static const auto real = next<int (*)(int, const sockaddr*, socklen_t)>("connect");
-  static const double share = share_of("connect");
+  static const auto kReal = next<int (*)(int, const sockaddr*, socklen_t)>("connect");
+  static const double kShare = share_of("connect");
   static constexpr int kErrors[] = {EADDRNOTAVAIL, ENETUNREACH};
   static std::size_t count = 0;
-  return is_tcp(fd) && draw(share) ? fail<int>(kErrors[count++ % 2]) : real(fd, address, size);
+  return is_tcp(fd) && draw(kShare) ? fail<int>(kErrors[count++ % 2]) : kReal(fd, address, size);
 }
 
 int socket(int domain, int type, int protocol) {
-  static const auto real = next<int (*)(int, int, int)>("socket");
-  static const double share = share_of("socket");
+  static const auto kReal = next<int (*)(int, int, int)>("socket");
+  static const double kShare = share_of("socket");
   static constexpr int kErrors[] = {ENFILE, ENOBUFS};
   static std::size_t count = 0;
-  return draw(share) ? fail<int>(kErrors[count++ % 2]) : real(domain, type, protocol);
+  return draw(kShare) ? fail<int>(kErrors[count++ % 2]) : kReal(domain, type, protocol);
 }
 
 int epoll_wait(int fd, epoll_event* events, int max_events, int timeout) {
-  static const auto real = next<int (*)(int, epoll_event*, int, int)>("epoll_wait");
-  static const double share = share_of("interrupt_wait");
-  return draw(share) ? fail<int>(EINTR) : real(fd, events, max_events, timeout);
+  static const auto kReal = next<int (*)(int, epoll_event*, int, int)>("epoll_wait");
+  static const double kShare = share_of("interrupt_wait");
+  return draw(kShare) ? fail<int>(EINTR) : kReal(fd, events, max_events, timeout);
 }
 
 }  // extern "C"
