Stray responses: reuse goes on at hosts that write late within what silence covers

A host with one response in ten followed by a second one up to 100 ms late was distrusted after the first that was over 60 ms late, so nearly every request opened a connection: 20,386 for 20,000.

Cause: one bound for "late" and "too late".

--- a/src/http/connection_reuse.cpp
+++ b/src/http/connection_reuse.cpp
@@ -9,10 +9,11 @@
 // Of kWaitMemorySeconds. More makes a client that sends one request after another wait for each.
 constexpr double kMaxWaitSeconds = 0.2;
 
-// Since the last bytes that were too late.
+// Since the last bytes of their kind.
 constexpr std::chrono::seconds kDistrustPeriod{60};
-// Bytes later than this are followed by others that kQuietPeriod does not cover.
-constexpr load_balancer::Duration kLateSilence = kQuietPeriod / 2;
+// Bytes later than this may be followed by others that kQuietPeriod does not cover.
+constexpr load_balancer::Duration kSlowSilence = kQuietPeriod / 2;
+constexpr load_balancer::Duration kTooLateSilence = std::chrono::milliseconds(105);
 
 double seconds_of(load_balancer::Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -38,7 +39,12 @@
                                     bool after_response) {
   if (!after_response) {
     early_until_ = now + kDistrustPeriod;
-  } else if (silence > kLateSilence) {
+    return;
+  }
+  if (silence > kSlowSilence) {
+    slow_until_ = now + kDistrustPeriod;
+  }
+  if (silence > kTooLateSilence) {
     distrusted_until_ = now + kDistrustPeriod;
   }
 }
--- a/src/http/connection_reuse.hpp
+++ b/src/http/connection_reuse.hpp
@@ -38,8 +38,9 @@
   Time at_{};
 };
 
-/// What a host has written that belongs to no request. A host that does so later than kQuietPeriod
-/// covers is distrusted: its connections carry one request each, as long as it goes on.
+/// What a host has written that belongs to no request. The later it did so, the longer its
+/// connections must be silent; one that is later than kQuietPeriod safely covers is distrusted: its
+/// connections carry one request each, as long as it goes on.
 class HostTrust {
  public:
   using Time = std::chrono::steady_clock::time_point;
@@ -49,6 +50,10 @@
   void on_unexpected_bytes(Time now, load_balancer::Duration silence, bool after_response);
   /// Whether a connection that has carried a response may carry another request.
   bool allows_reuse(Time now) const { return now >= distrusted_until_; }
+  /// Silence that a connection keeps after a response.
+  load_balancer::Duration quiet_period(Time now) const {
+    return now < slow_until_ ? 2 * kQuietPeriod : kQuietPeriod;
+  }
   /// Silence that a new connection keeps before its first request.
   load_balancer::Duration connect_quiet_period(Time now) const {
     return now < early_until_ ? kQuietPeriod : kConnectQuietPeriod;
@@ -56,6 +61,7 @@
 
  private:
   Time distrusted_until_{};
+  Time slow_until_{};   // until then, the host is expected to write late
   Time early_until_{};  // until then, the host is expected to write before any request
 };
 
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -98,7 +98,8 @@
   if (connection) {
     connection->assign(key, std::move(request), timeouts, std::move(body), now);
     active_.emplace(key, connection);
-    return connection->write_request_at(connection->idle_since() + kQuietPeriod, target.endpoint);
+    return connection->write_request_at(connection->idle_since() + target.trust.quiet_period(now),
+                                        target.endpoint);
   }
   if (open_connections_ >= limits_.connections && !close_oldest_idle()) {
     return report_connect_failure(key, host);
@@ -258,7 +259,7 @@
   if (!host.trust.allows_reuse(Clock::now())) {
     return nullptr;
   }
-  const auto quiet_since = Clock::now() - kQuietPeriod;
+  const auto quiet_since = Clock::now() - host.trust.quiet_period(Clock::now());
   for (;;) {
     const auto first_unquiet = std::find_if(
         host.idle.begin(), host.idle.end(),
@@ -279,7 +280,7 @@
   }
   while (!host.idle.empty()) {
     const auto now = Clock::now();
-    const Duration wait = host.idle.front()->idle_since() + kQuietPeriod - now;
+    const Duration wait = host.idle.front()->idle_since() + host.trust.quiet_period(now) - now;
     if (open_connections_ < limits_.connections && !host.wait_load.accepts(now, wait)) {
       host.wait_load = {};
       return nullptr;
--- a/src/http/upstream_pool.hpp
+++ b/src/http/upstream_pool.hpp
@@ -114,9 +114,9 @@
   template <class Predicate>
   void fail_unsent_where(Predicate predicate);
   void report_connect_failure(AttemptKey key, load_balancer::HostId host);
-  // An idle connection that has been silent for kQuietPeriod: the most recently used of them.
+  // An idle connection that has kept its quiet period: the most recently used of them.
   std::shared_ptr<UpstreamConnection> take_quiet(Host& host);
-  // The idle connection that will have been silent for kQuietPeriod next, if waiting for it is
+  // The idle connection whose quiet period ends next, if waiting for it is
   // better than a new connection.
   std::shared_ptr<UpstreamConnection> take_next_quiet(Host& host);
   std::shared_ptr<UpstreamConnection> take_usable(Host& host, std::size_t position);
