Host selection: among the hosts of a key, one with a quiet connection comes first

Change: select_key_host looks for an idle host with a quiet connection first. KeyAffinity.PrefersHostWithQuietConnection failed before.

--- a/src/load_balancer/host_selector.cpp
+++ b/src/load_balancer/host_selector.cpp
@@ -167,6 +167,25 @@
          (1 - uncertainty + uncertainty * free_fraction * free_fraction * free_fraction);
 }
 
+// An idle host of the key. On one without a quiet connection the attempt would wait, so the key's
+// other hosts come before it.
+HostId HostSelector::select_key_host() {
+  if (context.settings.connection_quiet_period > Duration{}) {
+    for (HostId id : candidates_) {
+      if (is_idle(hosts.at(id)) && connections.has_quiet_connection(hosts.at(id)) &&
+          context.draw_unit() < hosts.at(id).selection_weight) {
+        return id;
+      }
+    }
+  }
+  for (HostId id : candidates_) {
+    if (is_idle(hosts.at(id)) && context.draw_unit() < hosts.at(id).selection_weight) {
+      return id;
+    }
+  }
+  return kNone;
+}
+
 double HostSelector::connection_preference(const Host& host) const {
   double preference = 1;
   if (connections.has_open_connection(host)) {
@@ -204,10 +223,8 @@
     }
   }
   if (context.settings.key_affinity && request.has_key && !hosts.is_large_fleet()) {
-    for (HostId id : candidates_) {
-      if (is_idle(hosts.at(id)) && context.draw_unit() < hosts.at(id).selection_weight) {
-        return id;
-      }
+    if (const HostId id = select_key_host(); id != kNone) {
+      return id;
     }
   }
   double weight_sum = 0;
--- a/src/load_balancer/host_selector.hpp
+++ b/src/load_balancer/host_selector.hpp
@@ -43,6 +43,8 @@
   }
   // Relative probability of the host among idle ones.
   double weight(const Host& host, const ActiveRequest& request) const;
+  // A host for a request with a key, or kNone.
+  HostId select_key_host();
   // Factor of the selection weight for the host's connections.
   double connection_preference(const Host& host) const;
   bool is_allowed(const ActiveRequest& request, const Host& host) const;
--- a/tests/load_balancer/decision_test.cpp
+++ b/tests/load_balancer/decision_test.cpp
@@ -239,5 +239,32 @@
   EXPECT_LE(moved, 200 * 0.08);
 }
 
+// Guards against attempts that wait for the silence of a connection while another host of the key
+// has a quiet one.
+TEST(KeyAffinity, PrefersHostWithQuietConnection) {
+  Settings s = make_settings();
+  s.key_affinity = true;
+  s.connection_quiet_period = milliseconds(120);
+  Driver d(s, 3);
+  constexpr std::uint64_t kKey = 5;
+  const auto send = [&] {
+    d.request(0, milliseconds(1000), kKey);
+    return d.last_sent();
+  };
+  const auto first = send();
+  const auto second = send();
+  ASSERT_NE(first.host, second.host);
+  d.serve(first);
+  d.serve(second);
+  d.advance(milliseconds(200));
+  const auto third = send();
+  d.serve(third);
+  const auto fourth = send();
+  EXPECT_NE(fourth.host, third.host);
+  d.serve(fourth);
+  d.advance(milliseconds(200));
+  EXPECT_EQ(send().host, third.host) << "the first host of the key, once its connection is quiet";
+}
+
 }  // namespace
 }  // namespace load_balancer::testing
