--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -46,7 +46,7 @@
   MessageReader reader(socket);
   for (bool open = socket.is_open(); open;) {
     ClientRequest request;
-    request.deadline_ms = 2500;
+    request.deadline_ms = 2000;
     request.path_suffix = "/report";
     knowledge.add_id(request.id);
     // A client does not send on a connection whose end it has seen.
