Connections to hosts: one to a replaced host is not used for the host with its id

Cause: the decision library assigns the id of a forgotten host again. A streamed response ends its request at its first bytes, so the id was free while the connection lived on. At the end of the stream UpstreamConnection::keep_or_close asked by the id alone whether the host serves.

Change: a connection keeps the registration of its host (id and a number that grows with each new host and each change of an address) and is kept, rated and logged only while that is current. The same cause on related paths: a changed address under a response or a connect. Log lines have address=.

--- a/src/gateway/event_recorder.cpp
+++ b/src/gateway/event_recorder.cpp
@@ -16,6 +16,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// ADDRESS:PORT
+std::string text_of(const boost::asio::ip::tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 std::string_view name_of(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::success:
@@ -204,6 +209,7 @@
 void EventRecorder::on_connection_opened(const http::ConnectionOpened& event) {
   log_.record(EventKind::host_connection_opened, Frequency::per_request, "connected",
               {{"host", host_name(event.host)},
+               {"address", text_of(event.endpoint)},
                {"connection", static_cast<std::int64_t>(event.connection)}});
 }
 
@@ -212,6 +218,7 @@
   log_.record(EventKind::host_connection_closed, is_rare ? Frequency::rare : Frequency::per_request,
               http::name_of(event.reason),
               {{"host", host_name(event.host)},
+               {"address", text_of(event.endpoint)},
                {"connection", static_cast<std::int64_t>(event.connection)},
                {"responses", static_cast<std::int64_t>(event.responses)}});
 }
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -26,9 +26,9 @@
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(UpstreamConnectionOwner& owner, asio::io_context& io,
-                                       load_balancer::HostId host, ConnectionId id)
+                                       HostRegistration registration, ConnectionId id)
     : owner_(&owner),
-      host_(host),
+      registration_(registration),
       id_(id),
       socket_(io),
       timeout_timer_(io),
@@ -123,7 +123,7 @@
     self->socket_.set_option(tcp::no_delay(true), ignored);
     self->idle_since_ = Clock::now();
     self->owner_->on_connected(*self);
-    self->await_silence(self->idle_since_ + self->owner_->connect_quiet_period(self->host_));
+    self->await_silence(self->idle_since_ + self->owner_->connect_quiet_period(*self));
   });
 }
 
@@ -303,8 +303,8 @@
   if (response_stream_) {
     return close(HostCloseReason::stream_ended);
   }
-  AttemptCompletion completion{key_,         host_, outcome, Clock::now() - sent_at_,
-                               std::nullopt, {},    id_,     nullptr};
+  AttemptCompletion completion{key_,         host(), outcome, Clock::now() - sent_at_,
+                               std::nullopt, {},     id_,     nullptr};
   if (outcome == Outcome::success || outcome == Outcome::rejected_by_host) {
     completion.load = load_report_of(response_);
   }
@@ -326,7 +326,7 @@
     return close(reason);
   }
   ++responses_;
-  if (!owner_->keeps_connections(host_)) {
+  if (!owner_->keeps(*this)) {
     return close(HostCloseReason::not_in_use);
   }
   become_idle();
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -47,6 +47,14 @@
   std::shared_ptr<BodyStream> stream;
 };
 
+/// A host as it was when a connection to it was opened. The id alone does not tell: it is assigned
+/// again once the host is forgotten, and the host may change its address.
+struct HostRegistration {
+  load_balancer::HostId host = load_balancer::kNone;
+  std::uint64_t number = 0;  ///< Increases with each new host and each change of an address.
+  bool operator==(const HostRegistration&) const = default;
+};
+
 /// The time limits of an attempt, from load_balancer::SendAttempt.
 struct AttemptTimeouts {
   /// For the response, from the start of the attempt or from the end of a streamed request body.
@@ -64,7 +72,8 @@
   /// Time limit for a new connection.
   virtual load_balancer::Duration connect_timeout() const = 0;
   /// Silence that a new connection keeps before its first request.
-  virtual load_balancer::Duration connect_quiet_period(load_balancer::HostId host) const = 0;
+  virtual load_balancer::Duration connect_quiet_period(
+      const UpstreamConnection& connection) const = 0;
   virtual std::shared_ptr<BufferBudget> buffer_budget() const = 0;
   /// The attempt is finished; the connection calls report() for it afterwards.
   virtual void release_attempt(AttemptKey key) = 0;
@@ -73,8 +82,9 @@
   virtual void remove_stream(const std::shared_ptr<UpstreamConnection>& connection) = 0;
   /// Reports how an attempt ended; called once for each, unless close() ended it.
   virtual void report(AttemptCompletion completion) = 0;
-  /// Whether connections to the host are kept for further requests.
-  virtual bool keeps_connections(load_balancer::HostId host) const = 0;
+  /// Whether the connection is kept for further requests: it leads to the address of a serving
+  /// host.
+  virtual bool keeps(const UpstreamConnection& connection) const = 0;
   virtual void add_idle(const std::shared_ptr<UpstreamConnection>& connection) = 0;
   /// An idle connection has received input: the host has closed it or sent unexpected bytes.
   virtual void on_idle_input(const std::shared_ptr<UpstreamConnection>& connection) = 0;
@@ -97,7 +107,7 @@
   using Clock = std::chrono::steady_clock;
 
   UpstreamConnection(UpstreamConnectionOwner& owner, boost::asio::io_context& io,
-                     load_balancer::HostId host, ConnectionId id);
+                     HostRegistration registration, ConnectionId id);
 
   /// Assigns an attempt. Must be followed by connect() on a new connection, by write_request() or
   /// write_request_at() on an idle one. With a `body` the request's body comes from there.
@@ -115,7 +125,9 @@
   /// Closes without reporting the attempt.
   void close(HostCloseReason reason);
 
-  load_balancer::HostId host() const { return host_; }
+  load_balancer::HostId host() const { return registration_.host; }
+  const HostRegistration& registration() const { return registration_; }
+  const boost::asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
   ConnectionId id() const { return id_; }
   /// Complete responses that the connection has carried.
   std::uint64_t responses() const { return responses_; }
@@ -183,7 +195,7 @@
   void reconnect();
 
   UpstreamConnectionOwner* owner_;
-  load_balancer::HostId host_;
+  HostRegistration registration_;
   ConnectionId id_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timeout_timer_;
--- a/src/http/upstream_observer.hpp
+++ b/src/http/upstream_observer.hpp
@@ -2,6 +2,7 @@
 /// What an UpstreamPool reports about its connections, for logs and counters.
 #pragma once
 
+#include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <cstdint>
 
@@ -18,7 +19,7 @@
   stream_ended,      ///< A streamed response failed, or its client disconnected.
   idle_timeout,      ///< Before the host closes it.
   no_capacity,       ///< In favour of a connection to another host, or above a lowered limit.
-  not_in_use,        ///< The host is not serving, or the balancer does not use the connection.
+  not_in_use,        ///< The host is not serving or was replaced, or the balancer does not use it.
   host_distrusted,   ///< The host wrote too late what belongs to no request.
   shutdown
 };
@@ -30,12 +31,15 @@
 /// A connection was established.
 struct ConnectionOpened {
   load_balancer::HostId host = load_balancer::kNone;
+  boost::asio::ip::tcp::endpoint endpoint;
   ConnectionId connection = 0;
 };
 
 /// A connection was closed, or could not be established.
 struct ConnectionClosed {
+  /// kNone: the host was forgotten, or has another address.
   load_balancer::HostId host = load_balancer::kNone;
+  boost::asio::ip::tcp::endpoint endpoint;
   ConnectionId connection = 0;
   HostCloseReason reason = HostCloseReason::shutdown;
   std::uint64_t responses = 0;  ///< Complete ones that it has carried.
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -66,6 +66,9 @@
   if (address_changed) {
     host.endpoint = endpoint;
   }
+  if (address_changed || host.registration.host == load_balancer::kNone) {
+    host.registration = {host_id, ++last_registration_};
+  }
   host.serving = serving;
 }
 
@@ -105,7 +108,8 @@
     return report_connect_failure(key, host);
   }
   UpstreamConnectionOwner& owner = *this;
-  connection = std::make_shared<UpstreamConnection>(owner, io_, host, ++last_connection_id_);
+  connection =
+      std::make_shared<UpstreamConnection>(owner, io_, target.registration, ++last_connection_id_);
   ++open_connections_;
   connection->assign(key, std::move(request), timeouts, std::move(body), now);
   active_.emplace(key, connection);
@@ -154,8 +158,7 @@
 }
 
 void UpstreamPool::fail_unsent_to_non_serving() {
-  fail_unsent_where(
-      [&](const UpstreamConnection& connection) { return !keeps_connections(connection.host()); });
+  fail_unsent_where([&](const UpstreamConnection& connection) { return !keeps(connection); });
 }
 
 void UpstreamPool::cancel_unsent(AttemptKey key) {
@@ -177,9 +180,17 @@
   on_completion_(std::move(completion));
 }
 
-bool UpstreamPool::keeps_connections(HostId host) const {
-  const auto entry = hosts_.find(host);
-  return entry != hosts_.end() && entry->second.serving;
+bool UpstreamPool::is_current(const UpstreamConnection& connection) const {
+  const auto entry = hosts_.find(connection.host());
+  return entry != hosts_.end() && entry->second.registration == connection.registration();
+}
+
+HostId UpstreamPool::current_id_of(const UpstreamConnection& connection) const {
+  return is_current(connection) ? connection.host() : load_balancer::kNone;
+}
+
+bool UpstreamPool::keeps(const UpstreamConnection& connection) const {
+  return is_current(connection) && hosts_.at(connection.host()).serving;
 }
 
 void UpstreamPool::add_idle(const std::shared_ptr<UpstreamConnection>& connection) {
@@ -198,15 +209,15 @@
   }
 }
 
-Duration UpstreamPool::connect_quiet_period(HostId host) const {
-  const auto entry = hosts_.find(host);
-  return entry == hosts_.end() ? kConnectQuietPeriod
-                               : entry->second.trust.connect_quiet_period(Clock::now());
+Duration UpstreamPool::connect_quiet_period(const UpstreamConnection& connection) const {
+  return is_current(connection)
+             ? hosts_.at(connection.host()).trust.connect_quiet_period(Clock::now())
+             : kConnectQuietPeriod;
 }
 
 void UpstreamPool::on_idle_input(const std::shared_ptr<UpstreamConnection>& connection) {
-  if (const auto entry = hosts_.find(connection->host()); entry != hosts_.end()) {
-    std::erase(entry->second.idle, connection);
+  if (is_current(*connection)) {
+    std::erase(hosts_.at(connection->host()).idle, connection);
   }
   close_after_input(*connection, connection->input());
 }
@@ -224,12 +235,11 @@
   const auto now = Clock::now();
   const Duration silence = now - connection.idle_since();
   observer_.on_unexpected_bytes(
-      {connection.host(), connection.id(), bytes, silence, connection.responses()});
-  const auto entry = hosts_.find(connection.host());
-  if (entry == hosts_.end()) {
+      {current_id_of(connection), connection.id(), bytes, silence, connection.responses()});
+  if (!is_current(connection)) {
     return;
   }
-  HostTrust& trust = entry->second.trust;
+  HostTrust& trust = hosts_.at(connection.host()).trust;
   const bool was_trusted = trust.allows_reuse(now);
   trust.on_unexpected_bytes(now, silence, connection.responses() > 0);
   if (was_trusted && !trust.allows_reuse(now)) {
@@ -239,20 +249,24 @@
 
 ConnectionId UpstreamPool::on_reconnect(const UpstreamConnection& connection,
                                         HostCloseReason reason) {
-  observer_.on_connection_closed(
-      {connection.host(), connection.id(), reason, connection.responses()});
+  report_closed(connection, reason);
   return ++last_connection_id_;
 }
 
 void UpstreamPool::on_connected(const UpstreamConnection& connection) {
-  observer_.on_connection_opened({connection.host(), connection.id()});
+  observer_.on_connection_opened(
+      {current_id_of(connection), connection.endpoint(), connection.id()});
 }
 
 void UpstreamPool::on_connection_closed(const UpstreamConnection& connection,
                                         HostCloseReason reason) {
   --open_connections_;
-  observer_.on_connection_closed(
-      {connection.host(), connection.id(), reason, connection.responses()});
+  report_closed(connection, reason);
+}
+
+void UpstreamPool::report_closed(const UpstreamConnection& connection, HostCloseReason reason) {
+  observer_.on_connection_closed({current_id_of(connection), connection.endpoint(), connection.id(),
+                                  reason, connection.responses()});
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::take_quiet(Host& host) {
--- a/src/http/upstream_pool.hpp
+++ b/src/http/upstream_pool.hpp
@@ -47,8 +47,8 @@
 
   /// Connections above a lowered limit are closed once they are idle.
   void set_limits(const Limits& limits) { limits_ = limits; }
-  /// Adds or updates a host of the endpoint list. Connections to a host that is not `serving` are
-  /// closed once they are idle.
+  /// Adds or updates a host of the endpoint list. Connections to a host that is not `serving`, or
+  /// to an address that it had before, are closed once they are idle.
   void update_host(load_balancer::HostId host, const boost::asio::ip::tcp::endpoint& endpoint,
                    bool serving);
   /// Marks all hosts as not serving; called before the entries of a full endpoint list are applied.
@@ -69,7 +69,7 @@
   void close_idle(load_balancer::HostId host);
   /// Fails the attempts to a host that still wait for a connection, so that they are never sent.
   void fail_unsent(load_balancer::HostId host);
-  /// The same for all hosts that are not serving.
+  /// The same for all hosts that are not serving, and for all addresses that hosts had before.
   void fail_unsent_to_non_serving();
   /// Cancels an attempt if it still waits for a connection.
   void cancel_unsent(AttemptKey key);
@@ -84,6 +84,7 @@
   using Clock = std::chrono::steady_clock;
 
   struct Host {
+    HostRegistration registration;
     boost::asio::ip::tcp::endpoint endpoint;
     bool serving = false;
     std::vector<std::shared_ptr<UpstreamConnection>> idle;  // in the order of their last response
@@ -97,13 +98,13 @@
   };
 
   load_balancer::Duration connect_timeout() const override { return limits_.connect_timeout; }
-  load_balancer::Duration connect_quiet_period(load_balancer::HostId host) const override;
+  load_balancer::Duration connect_quiet_period(const UpstreamConnection& connection) const override;
   std::shared_ptr<BufferBudget> buffer_budget() const override { return buffer_budget_; }
   void release_attempt(AttemptKey key) override { active_.erase(key); }
   void add_stream(const std::shared_ptr<UpstreamConnection>& connection) override;
   void remove_stream(const std::shared_ptr<UpstreamConnection>& connection) override;
   void report(AttemptCompletion completion) override;
-  bool keeps_connections(load_balancer::HostId host) const override;
+  bool keeps(const UpstreamConnection& connection) const override;
   void add_idle(const std::shared_ptr<UpstreamConnection>& connection) override;
   void on_idle_input(const std::shared_ptr<UpstreamConnection>& connection) override;
   void on_unexpected_bytes(const UpstreamConnection& connection, std::size_t bytes) override;
@@ -111,6 +112,11 @@
   void on_connected(const UpstreamConnection& connection) override;
   void on_connection_closed(const UpstreamConnection& connection, HostCloseReason reason) override;
 
+  // Whether the connection leads to the address of a host that is known by its id.
+  bool is_current(const UpstreamConnection& connection) const;
+  // The id of the connection's host; kNone if the connection is not current.
+  load_balancer::HostId current_id_of(const UpstreamConnection& connection) const;
+  void report_closed(const UpstreamConnection& connection, HostCloseReason reason);
   template <class Predicate>
   void fail_unsent_where(Predicate predicate);
   void report_connect_failure(AttemptKey key, load_balancer::HostId host);
@@ -139,6 +145,7 @@
   std::shared_ptr<BufferBudget> buffer_budget_;
   std::size_t open_connections_ = 0;
   ConnectionId last_connection_id_ = 0;
+  std::uint64_t last_registration_ = 0;
   boost::asio::steady_timer sweep_timer_;
 };
 
--- a/src/http/upstream_response.cpp
+++ b/src/http/upstream_response.cpp
@@ -289,8 +289,8 @@
   };
   state_ = State::reading;
   AttemptCompletion completion{
-      key_,      host_, Outcome::success, Clock::now() - sent_at_, load_report_of(response_),
-      response_, id_,   response_stream_};
+      key_,      host(), Outcome::success, Clock::now() - sent_at_, load_report_of(response_),
+      response_, id_,    response_stream_};
   owner_->release_attempt(key_);
   owner_->add_stream(self);
   restart_stall_timer();
--- /dev/null
+++ b/tests/gateway/host_replacement_test.cpp
@@ -0,0 +1,142 @@
+// What a connection to a host may carry once the endpoint list has changed under it: the host was
+// removed and its id assigned again, or its address changed. On real loopback sockets; each
+// crossing is forced by the order of the lists and the responses.
+#include "support/gateway_fixture.hpp"
+#include "support/late_host.hpp"
+#include "support/raw_peers.hpp"
+
+namespace gateway::testing {
+namespace {
+
+// Longer than a buffered response, so that it is streamed.
+constexpr std::size_t kStreamedBody = 200'000;
+
+class HostReplacementTest : public GatewayFixture {
+ protected:
+  // Sends a changed entry of the endpoint list and waits until the gateway has applied it.
+  void push(const json& entry) {
+    ASSERT_TRUE(until([&] { return discovery.pending_watches.size() == 1; }));
+    discovery.push({{"all", false}, {"targets", {entry}}});
+    ASSERT_TRUE(until([&] { return discovery.pending_watches.size() == 1; }));
+  }
+  // The only connection of `host`, once a request has arrived on it.
+  std::shared_ptr<RawConnection> connection_with_request(RawHost& host) {
+    EXPECT_TRUE(
+        until([&] { return !host.connections.empty() && host.connections[0]->has("\r\n\r\n"); }));
+    return host.connections.at(0);
+  }
+  static std::string head_of_streamed_response() {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kStreamedBody) + "\r\n\r\n";
+  }
+  static std::size_t requests_on(const RawConnection& connection) {
+    std::size_t count = 0;
+    for (std::size_t at = 0;
+         (at = connection.received.find("X-Request-Id", at)) != std::string::npos; ++at) {
+      ++count;
+    }
+    return count;
+  }
+};
+
+// review/1: a keyed request ran in two zones, and a removed host got new requests, on a connection
+// that was kept under a reassigned host id.
+TEST_F(HostReplacementTest, StreamThatOutlivesItsHostIsNotReusedForTheHostWithItsId) {
+  RawHost removed(io);
+  discovery.list = {target("s-removed", removed.endpoint)};
+  start();
+  auto reader = RawConnection::connect(io, gateway->local_endpoint());
+  reader->send(request_text("read"));
+  const auto stream = connection_with_request(removed);
+  const std::string body = pattern(kStreamedBody);
+  stream->send(head_of_streamed_response() + body.substr(0, 1000));
+  ASSERT_TRUE(until([&] { return reader->body_size() == 1000; }));
+  push({{"uid", "s-removed"}, {"state", "DELETED"}});
+  ASSERT_EQ(gateway->hosts(), 0u) << "the id is free although the response is streamed on";
+  Peer joined(io, [](PeerConnection& c) { c.reply(response_text(200, "", "joined")); });
+  push(target("s-joined", joined.endpoint, "b"));
+  stream->send(body.substr(1000));
+  ASSERT_TRUE(until([&] { return reader->body_size() == kStreamedBody; }));
+  EXPECT_EQ(reader->body(), body);
+  auto c = client();
+  c->send(request_text("put"));
+  ASSERT_TRUE(until([&] { return !c->responses.empty() || requests_on(*stream) > 1; }));
+  EXPECT_EQ(requests_on(*stream), 1u);
+  ASSERT_FALSE(c->responses.empty());
+  EXPECT_EQ(c->responses[0].body(), "joined");
+  EXPECT_TRUE(until([&] { return stream->closed; }));
+}
+
+// The same with an address that changes under a response: buffered or streamed, its connection
+// leads to the old address and must not carry the next request.
+TEST_F(HostReplacementTest, ResponseFromOldAddressIsNotFollowedByARequest) {
+  for (const bool streamed : {false, true}) {
+    SCOPED_TRACE(streamed ? "streamed" : "buffered");
+    RawHost old_address(io);
+    discovery.list = {target("s-moved", old_address.endpoint)};
+    start();
+    auto reader = RawConnection::connect(io, gateway->local_endpoint());
+    reader->send(request_text("read"));
+    const auto connection = connection_with_request(old_address);
+    if (streamed) {
+      connection->send(head_of_streamed_response() + pattern(1000));
+      ASSERT_TRUE(until([&] { return reader->body_size() == 1000; }));
+    }
+    Peer new_address(io, [](PeerConnection& c) { c.reply(response_text(200, "", "new")); });
+    push(target("s-moved", new_address.endpoint));
+    connection->send(streamed ? pattern(kStreamedBody).substr(1000)
+                              : response_text(200, "", "old"));
+    ASSERT_TRUE(until([&] { return reader->body_size() == (streamed ? kStreamedBody : 3); }));
+    auto c = client();
+    c->send(request_text("write"));
+    ASSERT_TRUE(until([&] { return !c->responses.empty() || requests_on(*connection) > 1; }));
+    EXPECT_EQ(requests_on(*connection), 1u);
+    ASSERT_FALSE(c->responses.empty());
+    EXPECT_EQ(c->responses[0].body(), "new");
+    gateway.reset();
+    discovery.pending_watches.clear();
+    config.erase("known");
+  }
+}
+
+// The same with a connect that the change of the address overtakes: the attempt, which is not sent
+// yet, goes to the new address.
+TEST_F(HostReplacementTest, ConnectToOldAddressIsNotFollowedByARequest) {
+  LateHost old_address(io);
+  discovery.list = {target("s-moved", old_address.endpoint())};
+  start();
+  auto c = client();
+  c->send(request_text("write"));
+  ASSERT_TRUE(until([&] { return gateway->active_requests() == 1; }));
+  Peer new_address(io, [](PeerConnection& host) { host.reply(response_text(200, "", "new")); });
+  push(target("s-moved", new_address.endpoint));
+  old_address.accept_connections();
+  ASSERT_TRUE(until([&] { return !c->responses.empty(); }));
+  EXPECT_EQ(c->responses[0].body(), "new");
+  EXPECT_TRUE(old_address.requests.empty());
+}
+
+// The log must not name the new host of an id for a connection to the old one.
+TEST_F(HostReplacementTest, CloseIsNotLoggedUnderTheHostWithItsId) {
+  RawHost removed(io);
+  discovery.list = {target("s-removed", removed.endpoint)};
+  start();
+  auto reader = RawConnection::connect(io, gateway->local_endpoint());
+  reader->send(request_text("read"));
+  const auto stream = connection_with_request(removed);
+  stream->send(head_of_streamed_response() + pattern(1000));
+  ASSERT_TRUE(until([&] { return reader->body_size() == 1000; }));
+  push({{"uid", "s-removed"}, {"state", "DELETED"}});
+  Peer joined(io, nullptr);
+  push(target("s-joined", joined.endpoint, "b"));
+  stream->close();
+  ASSERT_TRUE(until([&] { return reader->closed; }));
+  const auto closed = std::find_if(log_lines.begin(), log_lines.end(), [](const auto& line) {
+    return line.find("host_connection_closed reason=stream_ended") == 0;
+  });
+  ASSERT_NE(closed, log_lines.end());
+  EXPECT_NE(closed->find("host=none address=" + text_of(removed.endpoint)), std::string::npos)
+      << *closed;
+}
+
+}  // namespace
+}  // namespace gateway::testing
