Log: the start of a shutdown, the end of an upload, the client's connection of a request

The log told neither when the shutdown began nor when a streamed request was complete, nor on which client connection a request came. So it could not tell whether the gateway waited for a host, had never read the last byte, or had taken the request on a connection that it could have closed.

Change: shutdown_started, request_body_received, client_connection on request_received and client_connection_closed, body_pending on request_received.

--- a/src/event_log/event.hpp
+++ b/src/event_log/event.hpp
@@ -11,6 +11,7 @@
 
 enum class EventKind {
   request_received,
+  request_body_received,
   request_served,
   request_rejected,
   request_failed,
@@ -29,8 +30,9 @@
   host_state_changed,
   endpoint_list_received,
   discovery_failed,
+  shutdown_started,
 };
-inline constexpr std::size_t kEventKinds = 19;
+inline constexpr std::size_t kEventKinds = 21;
 
 /// How often an event occurs in a service without faults.
 enum class Frequency {
--- a/src/event_log/event_log.cpp
+++ b/src/event_log/event_log.cpp
@@ -14,13 +14,13 @@
 constexpr const char* kLinePattern = "%v time=%Y-%m-%dT%H:%M:%S.%eZ";
 
 constexpr std::array<std::string_view, kEventKinds> kEventNames{
-    "request_received",         "request_served",         "request_rejected",
-    "request_failed",           "request_invalid",        "client_disconnected",
-    "client_connection_closed", "attempt_sent",           "attempt_retried",
-    "attempt_hedged",           "attempt_succeeded",      "attempt_failed",
-    "host_connection_opened",   "host_connection_closed", "unexpected_bytes",
-    "host_distrusted",          "host_state_changed",     "endpoint_list_received",
-    "discovery_failed"};
+    "request_received",       "request_body_received",    "request_served",
+    "request_rejected",       "request_failed",           "request_invalid",
+    "client_disconnected",    "client_connection_closed", "attempt_sent",
+    "attempt_retried",        "attempt_hedged",           "attempt_succeeded",
+    "attempt_failed",         "host_connection_opened",   "host_connection_closed",
+    "unexpected_bytes",       "host_distrusted",          "host_state_changed",
+    "endpoint_list_received", "discovery_failed",         "shutdown_started"};
 
 EventLog::Sink standard_error() {
   auto logger = std::make_shared<spdlog::logger>("gateway",
--- a/src/gateway/event_recorder.cpp
+++ b/src/gateway/event_recorder.cpp
@@ -97,7 +97,20 @@
 
 void EventRecorder::on_request(const ProxiedRequest& request, const std::string& request_class) {
   log_.record(EventKind::request_received, Frequency::per_request, "accepted",
-              {{"request", request.request_id}, {"class", request_class}});
+              {{"request", request.request_id},
+               {"class", request_class},
+               {"client_connection", static_cast<std::int64_t>(request.client_connection)},
+               {"body_pending", std::int64_t{request.body != nullptr}}});
+}
+
+void EventRecorder::on_request_body_received(const ProxiedRequest& request) {
+  log_.record(EventKind::request_body_received, Frequency::per_request, "complete",
+              {{"request", request.request_id}});
+}
+
+void EventRecorder::on_shutdown_started(std::size_t active_requests) {
+  log_.record(EventKind::shutdown_started, Frequency::rare, "requested",
+              {{"active_requests", static_cast<std::int64_t>(active_requests)}});
 }
 
 void EventRecorder::on_request_answered(std::string_view reason, unsigned status) {
@@ -155,13 +168,14 @@
       {{"request", request.request_id}, {"attempts", std::int64_t{request.attempts_ordered}}});
 }
 
-void EventRecorder::on_client_connection_closed(http::ClientCloseReason reason, bool unanswered) {
-  const bool is_expected = reason == http::ClientCloseReason::client_closed ||
-                           reason == http::ClientCloseReason::idle ||
-                           reason == http::ClientCloseReason::after_response;
+void EventRecorder::on_client_connection_closed(const http::ClientConnectionClosed& event) {
+  const bool is_expected = event.reason == http::ClientCloseReason::client_closed ||
+                           event.reason == http::ClientCloseReason::idle ||
+                           event.reason == http::ClientCloseReason::after_response;
   log_.record(EventKind::client_connection_closed,
-              is_expected ? Frequency::per_request : Frequency::rare, http::name_of(reason),
-              {{"unanswered", std::int64_t{unanswered}}});
+              is_expected ? Frequency::per_request : Frequency::rare, http::name_of(event.reason),
+              {{"client_connection", static_cast<std::int64_t>(event.connection)},
+               {"unanswered", std::int64_t{event.unanswered}}});
 }
 
 void EventRecorder::on_endpoint_list(const discovery::EndpointList& list,
--- a/src/gateway/event_recorder.hpp
+++ b/src/gateway/event_recorder.hpp
@@ -25,6 +25,8 @@
       : log_(log), balancer_(balancer) {}
 
   void on_request(const ProxiedRequest& request, const std::string& request_class);
+  /// The last byte of a body that was streamed has arrived.
+  void on_request_body_received(const ProxiedRequest& request);
   /// The gateway answers a request by itself, without the balancer.
   void on_request_answered(std::string_view reason, unsigned status);
   void on_attempt_sent(const ProxiedRequest& request, const load_balancer::SendAttempt& attempt);
@@ -33,7 +35,8 @@
   void on_rejected(const ProxiedRequest& request, load_balancer::EndReason reason);
   void on_failed(const ProxiedRequest& request, load_balancer::EndReason reason);
   void on_client_disconnected(const ProxiedRequest& request);
-  void on_client_connection_closed(http::ClientCloseReason reason, bool unanswered);
+  void on_client_connection_closed(const http::ClientConnectionClosed& event);
+  void on_shutdown_started(std::size_t active_requests);
   void on_endpoint_list(const discovery::EndpointList& list,
                         load_balancer::EndpointUpdateKind kind);
   void on_discovery_failed();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -86,8 +86,8 @@
                        {[this](http::ClientRequest request) { on_request(std::move(request)); },
                         [this](http::ExchangeId exchange) { on_body_complete(exchange); },
                         [this](http::ExchangeId exchange) { on_client_disconnected(exchange); },
-                        [this](http::ClientCloseReason reason, bool unanswered) {
-                          events_.on_client_connection_closed(reason, unanswered);
+                        [this](const http::ClientConnectionClosed& event) {
+                          events_.on_client_connection_closed(event);
                         }},
                        buffer_budget_) {
   apply_limits();
@@ -238,6 +238,7 @@
   remove_hop_by_hop_fields(request.message);
   ProxiedRequest& proxied = requests_[balancer_request.id];
   proxied.exchange = request.exchange;
+  proxied.client_connection = request.connection;
   proxied.message = std::move(request.message);
   proxied.body = std::move(request.body);
   proxied.request_id = std::move(request_id);
@@ -252,6 +253,7 @@
   if (entry == request_by_exchange_.end()) {
     return;
   }
+  events_.on_request_body_received(requests_.at(entry->second));
   balancer_.on_request_complete(now(), entry->second);
   execute_actions();
 }
@@ -592,6 +594,7 @@
   }
   stopping_ = true;
   on_stopped_ = std::move(done);
+  events_.on_shutdown_started(active_requests());
   client_listener_.close_idle(true);
   // The connections that wait at a shared socket are accepted by the next process. At a socket that
   // is not shared they would be lost, so they are accepted for kStopAcceptingDelay.
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -15,6 +15,7 @@
 /// Kept until the request has ended and none of its attempts is in flight.
 struct ProxiedRequest {
   http::ExchangeId exchange = 0;
+  http::ClientConnectionId client_connection = 0;
   http::HttpRequest message;
   std::shared_ptr<http::BodyStream> body;  ///< Null: the message contains the complete body.
   std::string request_id;                  ///< The client's X-Request-Id.
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 ClientSession::ClientSession(SessionRegistry& registry, tcp::socket socket)
-    : registry_(&registry), socket_(std::move(socket)) {
+    : registry_(&registry), id_(++registry.last_connection), socket_(std::move(socket)) {
   prepare_for_next_request();
 }
 
@@ -75,7 +75,7 @@
     stream->drop();
   }
   if (registry_->callbacks.connection_closed) {
-    registry_->callbacks.connection_closed(reason, unanswered);
+    registry_->callbacks.connection_closed({id_, reason, unanswered});
   }
   registry_->on_session_closed();
   disconnect_exchange();
--- a/src/http/client_session.hpp
+++ b/src/http/client_session.hpp
@@ -30,9 +30,13 @@
 /// Identifies one request of a client together with its response; never reused by a listener.
 using ExchangeId = std::uint64_t;
 
+/// Numbers the client connections of a listener, from 1.
+using ClientConnectionId = std::uint64_t;
+
 /// A request whose body is complete or streamed.
 struct ClientRequest {
   ExchangeId exchange = 0;
+  ClientConnectionId connection = 0;
   HttpRequest message;
   std::shared_ptr<BodyStream> body;  ///< Null: the message contains the complete body.
 };
@@ -66,6 +70,13 @@
 };
 const char* name_of(ClientCloseReason reason);
 
+/// A client's connection was closed.
+struct ClientConnectionClosed {
+  ClientConnectionId connection = 0;
+  ClientCloseReason reason = ClientCloseReason::shutdown;
+  bool unanswered = false;  ///< A request on it has no response.
+};
+
 /// Called on the event loop's thread. All but `connection_closed` must be set.
 struct ClientCallbacks {
   /// A request was received; respond() must be called for it, now or later.
@@ -74,8 +85,7 @@
   std::function<void(ExchangeId)> body_complete;
   /// The client has disconnected or has sent an invalid streamed body: respond() has no effect.
   std::function<void(ExchangeId)> client_disconnected;
-  /// A connection was closed; `unanswered` if a request on it has no response.
-  std::function<void(ClientCloseReason reason, bool unanswered)> connection_closed{};
+  std::function<void(const ClientConnectionClosed&)> connection_closed{};
 };
 
 /// The sessions of each state but `closed` are in a queue. All states but `awaiting_response` and
@@ -114,6 +124,7 @@
   /// Received after requests that have no complete response yet.
   std::size_t read_ahead_bytes = 0;
   ExchangeId last_exchange = 0;
+  ClientConnectionId last_connection = 0;
   /// When ClientListener::close_idle was enabled; empty while it is not.
   std::optional<std::chrono::steady_clock::time_point> closing_idle_since;
 };
@@ -201,6 +212,7 @@
   void write(std::string text, std::function<void()> on_written);
 
   SessionRegistry* registry_;
+  ClientConnectionId id_;
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kHeaderLimit + 2 * kReadChunk};
   HeadScanner scanner_{HeadScanner::Kind::request};
--- a/src/http/client_session_request.cpp
+++ b/src/http/client_session_request.cpp
@@ -157,7 +157,7 @@
 
 void ClientSession::submit_request(std::shared_ptr<BodyStream> body) {
   exchange_ = ++registry_->last_exchange;
-  ClientRequest request{exchange_, std::move(message_), std::move(body)};
+  ClientRequest request{exchange_, id_, std::move(message_), std::move(body)};
   if (!request.body) {
     enter(SessionState::awaiting_response);
   }
