Shutdown: every request has its response before the platform kills the process

Cause: Gateway::stop told the decision library nothing. The clock of an upload starts at its last byte, so RequestScheduler::on_request_complete moved its deadline past the kill.

--- a/include/load_balancer/load_balancer.hpp
+++ b/include/load_balancer/load_balancer.hpp
@@ -59,6 +59,11 @@
   // use: less than 1 while another process serves the same gateway.
   void set_budget_fraction(Time now, double fraction);
 
+  // The process ends soon: from now on every request gets its response, rejection or failure by
+  // `latest`, also if its client waits longer. Requests whose body is pending are excepted until it
+  // is complete.
+  void set_latest_response(Time now, Time latest);
+
   // Limits the retries and hedged requests over all requests until the next call. There is no limit
   // before the first call.
   void set_retry_allowance(Time now, std::uint64_t retries);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -595,6 +595,8 @@
   stopping_ = true;
   on_stopped_ = std::move(done);
   events_.on_shutdown_started(active_requests());
+  balancer_.set_latest_response(now(), now() + shutdown_schedule(settings_).last_response);
+  execute_actions();
   client_listener_.close_idle(true);
   // The connections that wait at a shared socket are accepted by the next process. At a socket that
   // is not shared they would be lost, so they are accepted for kStopAcceptingDelay.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include "gateway/proxied_request.hpp"
 #include "gateway/request_mapping.hpp"
 #include "gateway/resource_limits.hpp"
+#include "gateway/shutdown_schedule.hpp"
 #include "http/client_listener.hpp"
 #include "http/upstream_pool.hpp"
 #include "load_balancer/load_balancer.hpp"
@@ -33,9 +34,6 @@
 /// The balancer gets this much less time than the client's timeout: a response takes time to reach
 /// the client, and more on a busy machine.
 inline constexpr std::chrono::milliseconds kResponseMargin{10};
-/// How long a process whose listening socket is not shared accepts connections after stop():
-/// clients stop connecting to it only with a delay.
-inline constexpr std::chrono::milliseconds kStopAcceptingDelay{700};
 /// A process that starts beside a serving sibling accepts clients once discovery has sent an
 /// endpoint list. With restored hosts it accepts them after this time at the latest.
 inline constexpr std::chrono::milliseconds kEndpointListTimeout{1500};
@@ -97,8 +95,8 @@
   std::size_t connections() const {
     return client_listener_.connections() + upstream_pool_.connections();
   }
-  /// Begins a graceful shutdown: finishes active requests, closes all connections, then calls
-  /// `done`. Can't be undone; further calls have no effect.
+  /// Begins a graceful shutdown: finishes active requests within the times of ShutdownSchedule,
+  /// closes all connections, then calls `done`. Can't be undone; further calls have no effect.
   void stop(std::function<void()> done);
 
  private:
--- /dev/null
+++ b/src/gateway/shutdown_schedule.hpp
@@ -0,0 +1,25 @@
+/// @file
+/// When a process that was told to end does what, so that each request that it has taken gets its
+/// response before the platform kills it.
+#pragma once
+
+#include <chrono>
+
+#include "load_balancer/settings.hpp"
+
+namespace gateway {
+
+/// How long a process whose listening socket is not shared accepts connections after the start of
+/// its shutdown: clients stop connecting to it only with a delay.
+inline constexpr std::chrono::milliseconds kStopAcceptingDelay{700};
+
+/// Times since the start of a shutdown.
+struct ShutdownSchedule {
+  /// Every request has its response by then. The platform kills a process once the longest client
+  /// timeout of its classes and 0.7 s have passed; a timeout over 3 s counts as 3 s.
+  load_balancer::Duration last_response{};
+};
+
+ShutdownSchedule shutdown_schedule(const load_balancer::Settings& settings);
+
+}  // namespace gateway
--- a/src/load_balancer/active_requests.hpp
+++ b/src/load_balancer/active_requests.hpp
@@ -72,6 +72,15 @@
     return {slot(request), request.generation};
   }
   std::size_t size() const { return slot_of_.size(); }
+  // Calls `handler` for each request; it must neither add nor remove one.
+  template <class Handler>
+  void for_each(Handler handler) {
+    for (ActiveRequest& request : slots_) {
+      if (request.is_live) {
+        handler(request);
+      }
+    }
+  }
 
   // The request's first attempt in flight at `host`; null if there is none or the request is over.
   const Attempt* attempt_in_flight(Reference reference, HostId host) const;
--- a/src/load_balancer/balancer.cpp
+++ b/src/load_balancer/balancer.cpp
@@ -91,6 +91,9 @@
 void Balancer::set_budget_fraction(Time now, double fraction) {
   impl_->handle_event(now, [&] { impl_->slow_start.set_budget_fraction(fraction); });
 }
+void Balancer::set_latest_response(Time now, Time latest) {
+  impl_->handle_event(now, [&] { impl_->scheduler.set_latest_response(latest); });
+}
 void Balancer::set_retry_allowance(Time now, std::uint64_t retries) {
   impl_->handle_event(now, [&] { impl_->scheduler.set_retry_allowance(retries); });
 }
--- a/src/load_balancer/request_scheduler.cpp
+++ b/src/load_balancer/request_scheduler.cpp
@@ -34,6 +34,7 @@
   request.key = arrival.key;
   request.has_key = arrival.has_key;
   request.deadline = context.now + arrival.time_remaining;
+  limit_deadline(request);
   request.objective_deadline = objective_deadline_of(request, arrival);
   request.priority_score = admission.priority_score(request, arrival.tenant_index);
   admission.on_arrival(request);
@@ -47,8 +48,7 @@
     enqueue(request);
   } else {
     if (!request.body_pending) {
-      add_timer(request, request.deadline - context.settings.event_batch_interval,
-                TimerKind::response_deadline);
+      add_deadline_timer(request);
     }
     dispatch(request);
   }
@@ -146,7 +146,7 @@
   attempt.in_flight = false;
   --request.attempts_in_flight;
   if (request.body_pending) {
-    request.restart_clock(context.now);
+    restart_clock(request);
   } else {
     hosts.add_in_flight(host, -1);
   }
@@ -197,7 +197,7 @@
   if (!request || !request->body_pending) {
     return;
   }
-  request->restart_clock(context.now);
+  restart_clock(*request);
   request->body_pending = false;
   for (std::uint32_t i = 0; i < request->attempt_count; ++i) {
     if (request->attempts[i].in_flight) {
@@ -206,11 +206,21 @@
     }
   }
   if (!request->ended) {
-    add_timer(*request, request->deadline - context.settings.event_batch_interval,
-              TimerKind::response_deadline);
+    add_deadline_timer(*request);
   }
 }
 
+void RequestScheduler::set_latest_response(Time latest) {
+  latest_response_ = latest;
+  requests_.for_each([&](ActiveRequest& request) {
+    if (request.ended || request.deadline <= latest) {
+      return;
+    }
+    limit_deadline(request);
+    add_deadline_timer(request);
+  });
+}
+
 void RequestScheduler::on_response_started(RequestId id, std::uint32_t attempt) {
   ActiveRequest* request = requests_.find(id);
   if (!request || request->ended || attempt >= request->attempt_count) {
@@ -312,8 +322,7 @@
   if (ahead > 0 && would_be_late(request, ahead)) {
     return reject_or_fail(request, EndReason::key_queue_too_long);
   }
-  add_timer(request, request.deadline - context.settings.event_batch_interval,
-            TimerKind::response_deadline);
+  add_deadline_timer(request);
   add_timer(request, latest_useful_time(request) - expected_latency(request), TimerKind::key_turn);
   keys_to_dispatch_.push_back(request.key);
 }
--- a/src/load_balancer/request_scheduler.hpp
+++ b/src/load_balancer/request_scheduler.hpp
@@ -33,6 +33,8 @@
   }
   // Handles the timers that are due.
   void on_wakeup();
+  // See Balancer::set_latest_response.
+  void set_latest_response(Time latest);
   // See Balancer::set_retry_allowance.
   void set_retry_allowance(std::uint64_t retries) { retry_allowance_ = retries; }
   // Forgets keys without requests and cooldown. To be called every kSweepInterval.
@@ -61,6 +63,18 @@
   void add_timer(const ActiveRequest& request, Time at, TimerKind kind) {
     timers_.push({at, requests_.slot(request), request.generation, kind});
   }
+  void add_deadline_timer(const ActiveRequest& request) {
+    add_timer(request, request.deadline - context.settings.event_batch_interval,
+              TimerKind::response_deadline);
+  }
+  void limit_deadline(ActiveRequest& request) const {
+    request.deadline = std::min(request.deadline, latest_response_);
+  }
+  // Counts the client's time from now on, as its body is incomplete.
+  void restart_clock(ActiveRequest& request) const {
+    request.restart_clock(context.now);
+    limit_deadline(request);
+  }
   // Appends a request to the queue of its key, or rejects it if those ahead would make it too late.
   void enqueue(ActiveRequest& request);
   void dispatch(ActiveRequest& request);
@@ -98,6 +112,7 @@
   std::priority_queue<RequestTimer, std::vector<RequestTimer>, std::greater<>> timers_;
   KeyQueues key_queues_;
   std::vector<std::uint64_t> keys_to_dispatch_;  // those that may have become free in this event
+  Time latest_response_ = Time::max();           // see Balancer::set_latest_response
   double retry_tokens_ = kMaxSavedRetryTokens;
   std::uint64_t retry_allowance_ = UINT64_MAX;  // of this gateway, from the budget of the fleet
   // Retries per request: bounds the extra load when most attempts fail.
