Shutdown and drain: requests that stay incomplete are rejected instead of read on

Cause: in the states that receive a request each part of a body restarted the time limit, and nothing bounded the whole; close_idle ends only connections between requests.

Change: 0.5 s after the start of a shutdown, and 1.8 s after that of a drain, every session that receives is read once more; what is complete is taken, the rest gets 503 and a close.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,6 +79,7 @@
                  overrides.discovery),
       wakeup_timer_(clock_->make_timer()),
       stop_timer_(clock_->make_timer()),
+      reject_incomplete_timer_(clock_->make_timer()),
       ready_timer_(clock_->make_timer()),
       socket_is_shared_(config.passed_socket.has_value()),
       client_listener_(io, {config.listen, config.passed_socket},
@@ -88,6 +89,9 @@
                         [this](http::ExchangeId exchange) { on_client_disconnected(exchange); },
                         [this](const http::ClientConnectionClosed& event) {
                           events_.on_client_connection_closed(event);
+                        },
+                        [this](unsigned status) {
+                          events_.on_request_answered("not_taken", status);
                         }},
                        buffer_budget_) {
   apply_limits();
@@ -582,12 +586,24 @@
 }
 
 void Gateway::set_drained(bool drained) {
-  drained_ = drained;
-  if (!stopping_) {
-    client_listener_.close_idle(drained);
+  const bool was_drained = std::exchange(drained_, drained);
+  if (stopping_ || drained == was_drained) {
+    return;
+  }
+  client_listener_.close_idle(drained);
+  if (drained) {
+    reject_incomplete_after(kRejectIncompleteAtDrain);
+  } else {
+    reject_incomplete_timer_->cancel();
+    client_listener_.reject_incomplete(false);
   }
 }
 
+void Gateway::reject_incomplete_after(std::chrono::milliseconds delay) {
+  reject_incomplete_timer_->wait_until(clock_->now() + delay,
+                                       [this] { client_listener_.reject_incomplete(true); });
+}
+
 void Gateway::stop(std::function<void()> done) {
   if (stopping_) {
     return;
@@ -598,6 +614,7 @@
   balancer_.set_latest_response(now(), now() + shutdown_schedule(settings_).last_response);
   execute_actions();
   client_listener_.close_idle(true);
+  reject_incomplete_after(kRejectIncompleteAtStop);
   // The connections that wait at a shared socket are accepted by the next process. At a socket that
   // is not shared they would be lost, so they are accepted for kStopAcceptingDelay.
   stop_timer_->wait_until(
--- a/src/http/client_listener.cpp
+++ b/src/http/client_listener.cpp
@@ -87,6 +87,7 @@
   sessions_.callbacks.client_disconnected = [](ExchangeId) {
   };
   sessions_.callbacks.connection_closed = nullptr;
+  sessions_.callbacks.request_not_taken = nullptr;
   sessions_.pending_exchanges.clear();
   for (SessionQueue& queue : sessions_.queues) {
     while (!queue.empty()) {
@@ -307,6 +308,24 @@
   }
 }
 
+void ClientListener::reject_incomplete(bool enabled) {
+  sessions_.rejecting_incomplete = enabled;
+  if (enabled) {
+    reject_incomplete_requests();
+  }
+}
+
+void ClientListener::reject_incomplete_requests() {
+  for (const SessionState state :
+       {SessionState::awaiting_request, SessionState::reading_head, SessionState::receiving_body}) {
+    const SessionQueue& queue = sessions_.queue(state);
+    const std::vector<std::shared_ptr<ClientSession>> all(queue.begin(), queue.end());
+    for (const auto& session : all) {
+      session->reject_if_incomplete();
+    }
+  }
+}
+
 void ClientListener::stop_accepting(std::chrono::milliseconds time_limit) {
   // Ends the accept loop, which would otherwise restart the timer that is started here.
   stopping_ = true;
@@ -347,6 +366,9 @@
   expire_sessions(SessionState::streaming_response, limits.response_stall_timeout, now);
   expire_sessions(SessionState::lingering, kLingerTimeout, now);
   close_disconnected();
+  if (sessions_.rejecting_incomplete) {
+    reject_incomplete_requests();
+  }
   if (const auto since = sessions_.closing_idle_since) {
     close_idle_before(now - *since < kCloseAllIdleAfter ? now - kCloseIdleAfter : now);
   }
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -193,6 +193,22 @@
   close(ClientCloseReason::timed_out);
 }
 
+// Part of a request may be missing.
+bool ClientSession::is_receiving() const {
+  return state_ == SessionState::awaiting_request || state_ == SessionState::reading_head ||
+         state_ == SessionState::receiving_body;
+}
+
+void ClientSession::reject_if_incomplete() {
+  const auto self = shared_from_this();
+  while (is_receiving() && !waits_for_upstream() && has_unread_input()) {
+    read_available();
+  }
+  if (is_receiving() && request_started_) {
+    reject(boost::beast::http::status::service_unavailable);
+  }
+}
+
 void ClientSession::enter(SessionState state) {
   SessionQueue& queue = registry_->queue(state);
   queue.splice(queue.end(), registry_->queue(state_), queue_position_);
--- a/src/http/client_session.hpp
+++ b/src/http/client_session.hpp
@@ -77,7 +77,7 @@
   bool unanswered = false;  ///< A request on it has no response.
 };
 
-/// Called on the event loop's thread. All but `connection_closed` must be set.
+/// Called on the event loop's thread. The first three must be set.
 struct ClientCallbacks {
   /// A request was received; respond() must be called for it, now or later.
   std::function<void(ClientRequest)> request;
@@ -86,6 +86,8 @@
   /// The client has disconnected or has sent an invalid streamed body: respond() has no effect.
   std::function<void(ExchangeId)> client_disconnected;
   std::function<void(const ClientConnectionClosed&)> connection_closed{};
+  /// A request was not taken, as it is invalid or incomplete; its response has this status.
+  std::function<void(unsigned status)> request_not_taken{};
 };
 
 /// The sessions of each state but `closed` are in a queue. All states but `awaiting_response` and
@@ -127,6 +129,7 @@
   ClientConnectionId last_connection = 0;
   /// When ClientListener::close_idle was enabled; empty while it is not.
   std::optional<std::chrono::steady_clock::time_point> closing_idle_since;
+  bool rejecting_incomplete = false;  ///< See ClientListener::reject_incomplete.
 };
 
 /// While ClientListener::close_idle is enabled, connections are closed once they are idle for this
@@ -167,6 +170,10 @@
   /// receiving_body, where part of a request has been received, else closes the connection.
   void expire();
 
+  /// Responds with 503 to a request that is still incomplete once all that has arrived is read. It
+  /// was not executed, as no host has its last byte. Does nothing if no request has begun.
+  void reject_if_incomplete();
+
   /// Nothing of a request has been read or has arrived at the socket.
   bool has_no_input() const;
   /// Bytes have arrived at the socket and have not been read.
@@ -182,6 +189,7 @@
 
  private:
   void enter(SessionState state);
+  bool is_receiving() const;
   void wait_for_input();
   void read_ahead();
   void release_read_ahead();
--- a/src/http/client_session_request.cpp
+++ b/src/http/client_session_request.cpp
@@ -218,6 +218,9 @@
   if (state_ == SessionState::closed) {
     return;
   }
+  if (registry_->callbacks.request_not_taken) {
+    registry_->callbacks.request_not_taken(static_cast<unsigned>(status));
+  }
   keep_alive_ = false;
   HttpResponse response;
   response.result(status);
