Shutdown and drain: a connection is closed at the end of a response that outlasts the start

Cause: ClientSession::respond decides with the head of a response whether its connection is kept, and on_response_written used that seconds later.

Change: reject_incomplete becomes take_no_requests. From that time a session whose response ends is closed unless its next request has arrived, which gets 503; idle sessions are read and closed at once. It holds on every path, as all responses end in on_response_written.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,7 +79,7 @@
                  overrides.discovery),
       wakeup_timer_(clock_->make_timer()),
       stop_timer_(clock_->make_timer()),
-      reject_incomplete_timer_(clock_->make_timer()),
+      take_no_requests_timer_(clock_->make_timer()),
       ready_timer_(clock_->make_timer()),
       socket_is_shared_(config.passed_socket.has_value()),
       client_listener_(io, {config.listen, config.passed_socket},
@@ -592,16 +592,16 @@
   }
   client_listener_.close_idle(drained);
   if (drained) {
-    reject_incomplete_after(kRejectIncompleteAtDrain);
+    take_no_requests_after(kTakeNoRequestsAtDrain);
   } else {
-    reject_incomplete_timer_->cancel();
-    client_listener_.reject_incomplete(false);
+    take_no_requests_timer_->cancel();
+    client_listener_.take_no_requests(false);
   }
 }
 
-void Gateway::reject_incomplete_after(std::chrono::milliseconds delay) {
-  reject_incomplete_timer_->wait_until(clock_->now() + delay,
-                                       [this] { client_listener_.reject_incomplete(true); });
+void Gateway::take_no_requests_after(std::chrono::milliseconds delay) {
+  take_no_requests_timer_->wait_until(clock_->now() + delay,
+                                      [this] { client_listener_.take_no_requests(true); });
 }
 
 void Gateway::stop(std::function<void()> done) {
@@ -614,7 +614,7 @@
   balancer_.set_latest_response(now(), now() + shutdown_schedule(settings_).last_response);
   execute_actions();
   client_listener_.close_idle(true);
-  reject_incomplete_after(kRejectIncompleteAtStop);
+  take_no_requests_after(kTakeNoRequestsAtStop);
   // The connections that wait at a shared socket are accepted by the next process. At a socket that
   // is not shared they would be lost, so they are accepted for kStopAcceptingDelay.
   stop_timer_->wait_until(
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -83,7 +83,7 @@
   /// have been listed so far.
   void on_endpoint_listed(std::function<void(const std::string& uid)> callback);
   /// While drained, requests are still served, but each connection is closed after its response or
-  /// once it is idle, and GET /up responds with 503. From kRejectIncompleteAtDrain on, requests
+  /// once it is idle, and GET /up responds with 503. From kTakeNoRequestsAtDrain on, requests
   /// that are incomplete are rejected.
   void set_drained(bool drained);
   /// Applies the discovery server and the limits of a new configuration. Active requests continue.
@@ -120,7 +120,7 @@
                                  load_balancer::EndpointUpdateKind kind);
   void forget_finished_requests();
   void apply_limits();
-  void reject_incomplete_after(std::chrono::milliseconds delay);
+  void take_no_requests_after(std::chrono::milliseconds delay);
 
   void execute_actions();
   void execute(const load_balancer::Action& action);
@@ -156,7 +156,7 @@
   std::deque<http::AttemptCompletion> pending_completions_;  // not yet reported to the balancer
   std::unique_ptr<runtime::Timer> wakeup_timer_;
   std::unique_ptr<runtime::Timer> stop_timer_;
-  std::unique_ptr<runtime::Timer> reject_incomplete_timer_;
+  std::unique_ptr<runtime::Timer> take_no_requests_timer_;
   std::unique_ptr<runtime::Timer> ready_timer_;
   load_balancer::RequestId last_request_id_ = 0;
   std::function<void()> on_stopped_;
--- a/src/http/client_listener.cpp
+++ b/src/http/client_listener.cpp
@@ -308,10 +308,23 @@
   }
 }
 
-void ClientListener::reject_incomplete(bool enabled) {
-  sessions_.rejecting_incomplete = enabled;
+void ClientListener::take_no_requests(bool enabled) {
   if (enabled) {
     reject_incomplete_requests();
+    read_idle();
+    close_idle_before(Clock::now());
+  }
+  sessions_.takes_no_requests = enabled;
+}
+
+void ClientListener::read_idle() {
+  const SessionQueue& queue = sessions_.queue(SessionState::idle);
+  const std::vector<std::shared_ptr<ClientSession>> all(queue.begin(), queue.end());
+  for (const auto& session : all) {
+    if (session->has_unread_input()) {
+      session->read_available();
+      session->reject_if_incomplete();
+    }
   }
 }
 
@@ -366,10 +379,10 @@
   expire_sessions(SessionState::streaming_response, limits.response_stall_timeout, now);
   expire_sessions(SessionState::lingering, kLingerTimeout, now);
   close_disconnected();
-  if (sessions_.rejecting_incomplete) {
+  if (sessions_.takes_no_requests) {
     reject_incomplete_requests();
-  }
-  if (const auto since = sessions_.closing_idle_since) {
+    close_idle_before(now);
+  } else if (const auto since = sessions_.closing_idle_since) {
     close_idle_before(now - *since < kCloseAllIdleAfter ? now - kCloseIdleAfter : now);
   }
   sweep_timer_.expires_after(kSweepInterval);
--- a/src/http/client_listener.hpp
+++ b/src/http/client_listener.hpp
@@ -58,9 +58,11 @@
   /// those idle for kCloseIdleAfter, and all of them once kCloseAllIdleAfter has passed. A
   /// connection with unread input is not closed.
   void close_idle(bool enabled);
-  /// While enabled, incomplete requests are rejected with status 503 and their connections closed:
-  /// at once, and soon after they arrive. A request that is complete in the socket is submitted.
-  void reject_incomplete(bool enabled);
+  /// While enabled, connections are closed where they are idle or after their response. Requests
+  /// that are incomplete, or are the next ones of a connection, are rejected with status 503. Of
+  /// those that have arrived before, all that are complete are submitted, also if they wait in a
+  /// socket or are the first ones of connections that wait to be accepted.
+  void take_no_requests(bool enabled);
   /// Closes the listening socket; can't be undone. If it is bound here, the connections that wait
   /// are accepted first, for up to `time_limit` if there is no capacity, and idle connections are
   /// closed. Those that wait at a passed socket are left to the processes that share it.
@@ -90,6 +92,7 @@
   void close_disconnected();
   void close_idle_before(Clock::time_point last_progress_before);
   void reject_incomplete_requests();
+  void read_idle();
   void on_session_closed();
   void sweep();
   void expire_sessions(SessionState state, std::chrono::milliseconds time_limit,
--- a/src/http/client_session.hpp
+++ b/src/http/client_session.hpp
@@ -129,7 +129,8 @@
   ClientConnectionId last_connection = 0;
   /// When ClientListener::close_idle was enabled; empty while it is not.
   std::optional<std::chrono::steady_clock::time_point> closing_idle_since;
-  bool rejecting_incomplete = false;  ///< See ClientListener::reject_incomplete.
+  /// See ClientListener::take_no_requests. Connections carry no further request then.
+  bool takes_no_requests = false;
 };
 
 /// While ClientListener::close_idle is enabled, connections are closed once they are idle for this
@@ -198,6 +199,7 @@
   bool must_close_after_response() const;
   void linger(ClientCloseReason reason);
   void prepare_for_next_request();
+  bool must_close_before_next_request() const;
   void on_response_written();
   void await_next_request();
 
--- a/src/http/client_session_request.cpp
+++ b/src/http/client_session_request.cpp
@@ -156,6 +156,9 @@
 }
 
 void ClientSession::submit_request(std::shared_ptr<BodyStream> body) {
+  if (registry_->takes_no_requests && !is_first_request_) {
+    return reject(beast_http::status::service_unavailable);
+  }
   exchange_ = ++registry_->last_exchange;
   ClientRequest request{exchange_, id_, std::move(message_), std::move(body)};
   if (!request.body) {
--- a/src/http/client_session_response.cpp
+++ b/src/http/client_session_response.cpp
@@ -54,13 +54,20 @@
   });
 }
 
+// The head of a response is written long before its end, and may have said that the connection is
+// kept. A next request that has arrived gets an answer.
+bool ClientSession::must_close_before_next_request() const {
+  return !keep_alive_ ||
+         (registry_->takes_no_requests && buffer_.size() == 0 && !has_unread_input());
+}
+
 void ClientSession::on_response_written() {
   response_ = {};
   response_stream_.reset();
-  if (keep_alive_) {
-    await_next_request();
-  } else {
+  if (must_close_before_next_request()) {
     linger(ClientCloseReason::after_response);
+  } else {
+    await_next_request();
   }
 }
 
--- a/tests/gateway/host_replacement_test.cpp
+++ b/tests/gateway/host_replacement_test.cpp
@@ -28,14 +28,6 @@
   static std::string head_of_streamed_response() {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kStreamedBody) + "\r\n\r\n";
   }
-  static std::size_t requests_on(const RawConnection& connection) {
-    std::size_t count = 0;
-    for (std::size_t at = 0;
-         (at = connection.received.find("X-Request-Id", at)) != std::string::npos; ++at) {
-      ++count;
-    }
-    return count;
-  }
 };
 
 // review/1: a keyed request ran in two zones, and a removed host got new requests, on a connection
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -101,7 +101,7 @@
   ASSERT_TRUE(until(
       [&] { return host->connections.size() == 1 && host->connections[0]->body_size() > 80'000; }));
   stop();
-  run_until_after_stop(kRejectIncompleteAtStop - 100ms);
+  run_until_after_stop(kTakeNoRequestsAtStop - 100ms);
   for (const Case& incomplete : cases) {
     EXPECT_TRUE(incomplete.client->responses.empty()) << incomplete.name;
   }
@@ -132,7 +132,7 @@
   }));
   gateway->set_drained(true);
   c->send(text.substr(text.size() - kLastBytes));  // small enough to be written at once
-  const auto due = clock->now() + kRejectIncompleteAtDrain;
+  const auto due = clock->now() + kTakeNoRequestsAtDrain;
   while (clock->now() < due) {
     clock->advance(due);  // the event loop does not run
   }
@@ -154,7 +154,7 @@
   const auto drained_at = Clock::now();
   gateway->set_drained(true);
   ASSERT_TRUE(until([&] { return during->closed_by_peer; }));
-  EXPECT_GE(Clock::now() - drained_at, kRejectIncompleteAtDrain);
+  EXPECT_GE(Clock::now() - drained_at, kTakeNoRequestsAtDrain);
   EXPECT_LT(Clock::now() - drained_at, 4s);
   ASSERT_EQ(during->responses.size(), 1u);
   EXPECT_EQ(during->responses[0].result_int(), 503u);
@@ -185,5 +185,106 @@
   EXPECT_EQ(c->responses[0].result_int(), 503u);
 }
 
+// Long responses that are passed on while the process stops or is drained.
+class ResponseDuringShutdownTest : public ShutdownTest {
+ protected:
+  static constexpr std::size_t kBody = 200'000;
+  std::unique_ptr<RawHost> host;
+  std::shared_ptr<RawConnection> reader;
+  std::shared_ptr<RawConnection> stream;  // to the host
+
+  // A client that has the head of its response, which says that the connection is kept.
+  void begin_response() {
+    host = std::make_unique<RawHost>(io);
+    discovery.list = {target("s-raw", host->endpoint)};
+    start();
+    reader = RawConnection::connect(io, gateway->local_endpoint());
+    reader->send(request_text("read"));
+    ASSERT_TRUE(until(
+        [&] { return host->connections.size() == 1 && host->connections[0]->has("\r\n\r\n"); }));
+    stream = host->connections[0];
+    stream->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n" +
+                 pattern(1000));
+    ASSERT_TRUE(until([&] { return reader->body_size() == 1000; }));
+    ASSERT_FALSE(reader->has("Connection: close"));
+  }
+  void end_response() {
+    stream->send(pattern(kBody).substr(1000));
+    ASSERT_TRUE(until([&] { return reader->body_size() >= kBody; }));
+  }
+  // Requests that have arrived at the host.
+  std::size_t forwarded() const {
+    std::size_t count = 0;
+    for (const auto& connection : host->connections) {
+      count += requests_on(*connection);
+    }
+    return count;
+  }
+};
+
+// review/3: the connection of a long response was kept after SIGTERM, and the answer to its next
+// request was cut off by SIGKILL.
+TEST_F(ResponseDuringShutdownTest, ConnectionCarriesNoFurtherRequestOnceNothingIsTaken) {
+  for (const bool is_drain : {false, true}) {
+    SCOPED_TRACE(is_drain ? "drain" : "stop");
+    begin_response();
+    stopped_at = Clock::now();
+    if (is_drain) {
+      gateway->set_drained(true);
+    } else {
+      gateway->stop([this] { done = true; });
+    }
+    run_until_after_stop((is_drain ? kTakeNoRequestsAtDrain : kTakeNoRequestsAtStop) + 50ms);
+    end_response();
+    reader->send(request_text("read"));  // the gateway's event loop has not run since
+    ASSERT_TRUE(until([&] { return reader->closed || forwarded() > 1; }));
+    EXPECT_EQ(forwarded(), 1u);
+    const std::string rest = reader->body().substr(kBody);
+    EXPECT_TRUE(rest.empty() || rest.find("HTTP/1.1 503") == 0)
+        << "the request either crosses the close or is rejected: " << rest;
+    gateway.reset();
+    discovery.pending_watches.clear();
+    config.erase("known");
+  }
+}
+
+// The same with the next request sent ahead: it was read, so it needs an answer.
+TEST_F(ResponseDuringShutdownTest, RequestSentAheadIsRejectedOnceNothingIsTaken) {
+  begin_response();
+  stop();
+  reader->send(request_text("read"));
+  run_until_after_stop(kTakeNoRequestsAtStop + 50ms);
+  end_response();
+  ASSERT_TRUE(until([&] { return reader->closed || forwarded() > 1; }));
+  EXPECT_EQ(forwarded(), 1u);
+  EXPECT_TRUE(reader->has("HTTP/1.1 503")) << "it was not executed";
+}
+
+// The same with a connection that was idle for a short time when the time came.
+TEST_F(ResponseDuringShutdownTest, IdleConnectionIsClosedOnceNothingIsTaken) {
+  begin_response();
+  stop();
+  run_until_after_stop(kTakeNoRequestsAtStop - 200ms);
+  end_response();
+  run_until_after_stop(kTakeNoRequestsAtStop + 50ms);
+  EXPECT_TRUE(reader->closed);
+  reader->send(request_text("read"));
+  ASSERT_TRUE(until([&] { return done || forwarded() > 1; }));
+  EXPECT_EQ(forwarded(), 1u);
+}
+
+// Until then the connection is kept, and its next request is served.
+TEST_F(ResponseDuringShutdownTest, ConnectionIsKeptUntilNothingIsTaken) {
+  begin_response();
+  stop();
+  end_response();
+  reader->send(request_text("read"));
+  ASSERT_TRUE(until([&] { return forwarded() == 2; }));
+  host->connections.back()->send(response_text(200, "", "second"));
+  ASSERT_TRUE(until([&] { return reader->closed; }));
+  EXPECT_TRUE(reader->has("second"));
+  EXPECT_TRUE(reader->has("Connection: close"));
+}
+
 }  // namespace
 }  // namespace gateway::testing
--- a/tests/support/raw_peers.hpp
+++ b/tests/support/raw_peers.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -106,6 +107,17 @@
   tcp::endpoint endpoint;
 };
 
+// Requests that have arrived on a connection of a host.
+inline std::size_t requests_on(const RawConnection& connection) {
+  static constexpr std::string_view kHeader = "X-Request-Id";  // once in each
+  std::size_t count = 0;
+  for (std::size_t at = connection.received.find(kHeader); at != std::string::npos;
+       at = connection.received.find(kHeader, at + kHeader.size())) {
+    ++count;
+  }
+  return count;
+}
+
 // A body in which lost, repeated or swapped parts show.
 inline std::string pattern(std::size_t size) {
   std::string text(size, ' ');
