--- a/src/gateway/shutdown_schedule.hpp
+++ b/src/gateway/shutdown_schedule.hpp
@@ -13,9 +13,9 @@
 /// its shutdown: clients stop connecting to it only with a delay.
 inline constexpr std::chrono::milliseconds kStopAcceptingDelay{700};
 
-/// Since the start of a shutdown; see ClientListener::take_no_requests. The platform holds a request
-/// that gets no response before the kill against the process if it came more than 0.7 s after the
-/// start. Clients go on connecting for up to 0.4 s.
+/// Since the start of a shutdown; see ClientListener::take_no_requests. The platform holds a
+/// request that gets no response before the kill against the process if it came more than 0.7 s
+/// after the start. Clients go on connecting for up to 0.4 s.
 inline constexpr std::chrono::milliseconds kTakeNoRequestsAtStop{500};
 /// Since the start of a drain; the same. Operators expect that 4 s after its start no connection
 /// carries a request of the last 2 s.
