--- a/test.sh
+++ b/test.sh
@@ -11,6 +11,6 @@
 cmake --build "$dir" -j"$(nproc)"
 exclude=
 if [ -n "${KNOWN_RED:-}" ]; then
-  exclude=$(ctest --test-dir "$dir" -N | sed -n 's/^ *Test *#[0-9]*: //p' | .ci/known-red "$KNOWN_RED")
+  exclude=$(.ci/all-tests "$dir" | .ci/known-red "$KNOWN_RED")
 fi
 ctest --test-dir "$dir" --output-on-failure --timeout 120 -j"$(nproc)" ${exclude:+--exclude-regex "$exclude"}
