Laboratory: a late response of a gateway that was paused is excused like a missing one

LiveRun excuses what a paused gateway had, in the client's timer at the deadline and 50 ms; a response that is handled 19 us after that time and before the timer found no such excuse in the checker. The gateway can't know how long a request lay in its socket while it was stopped.

Change: the checker knows the end of a pause and excuses late responses only to requests that their gateway had before it. Everything else is reported as before.

Measured: the new test failed before (a violation of the excused request) and passes; it also shows that a late response of another gateway, and to a request after the pause, is still reported.

--- a/src/lab/analysis/invariant_checker.hpp
+++ b/src/lab/analysis/invariant_checker.hpp
@@ -77,7 +77,8 @@
   // A gateway has (re)started with an empty endpoint list.
   void gateway_started(std::uint32_t gateway);
   // A gateway resumes after SIGSTOP at `paused_at`: what discovery announced meanwhile counts as
-  // announced now, because the gateway could not read it earlier.
+  // announced now, because the gateway could not read it earlier. A late response to a request that
+  // it had received before is excused, as a missing one is.
   void gateway_resumed(Time now, std::uint32_t gateway, Time paused_at);
   // A cold host collapsed under `work_sent` seconds of work within the collapse window, of which it
   // tolerates `work_limit`; the fraction `informed_share` of the work came from gateways that
@@ -106,6 +107,7 @@
     std::vector<Execution> executions;
   };
   TrackedRequest* find(RequestKey request);
+  bool was_paused(const TrackedRequest& request) const;
   void add_violation(Rule rule, Time at, std::uint32_t gateway, std::string what);
 
   RulesSpec rules_;
@@ -113,6 +115,7 @@
   std::unordered_map<RequestKey, TrackedRequest> requests_;  // never iterated: order unspecified
   std::unordered_map<std::uint64_t, Time>
       draining_since_;  // by (gateway, host): first announced as draining or removed
+  std::unordered_map<std::uint32_t, Time> resumed_at_;  // by gateway: its latest pause
   std::array<std::uint64_t, kRules> counts_{};
   std::vector<Violation> first_violations_;
 };
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -399,6 +399,27 @@
         {"kind": "reset", "at_s": 1, "length_s": 10,
         "part": 0.5, "size": 0.2}])";
 
+// Guards against a false alarm: the client's timer excuses a request that a paused gateway had, but
+// a response that came between the timer's time and its handler was reported as lost.
+TEST(LabInvariantChecker, ExcusesLateResponsesOnlyToRequestsBeforeTheEndOfAPause) {
+  using std::chrono::milliseconds;
+  const std::vector<ClassSpec> classes(1);
+  InvariantChecker checker(RulesSpec{}, classes);
+  constexpr std::uint32_t kPaused = 6;
+  constexpr std::uint32_t kOther = 7;
+  const Time deadline = milliseconds(2000);
+  const Time late = deadline + milliseconds(51);
+  checker.request_received(milliseconds(1000), 1, 0, kPaused, deadline);
+  checker.request_received(milliseconds(1000), 2, 0, kOther, deadline);
+  checker.gateway_resumed(milliseconds(1900), kPaused, milliseconds(900));
+  checker.request_received(milliseconds(1950), 3, 0, kPaused, deadline);
+  checker.response_sent(late, 1, ResponseKind::served);
+  EXPECT_TRUE(checker.is_clean());
+  checker.response_sent(late, 2, ResponseKind::served);
+  checker.response_sent(late, 3, ResponseKind::served);
+  EXPECT_EQ(checker.first_violations().size(), 2u);
+}
+
 // A checker that misses a violation would let a broken balancer pass every simulated run; a checker
 // that reports the correct balancer would make every run useless.
 TEST(LabInvariantChecker, ReportsTheRuleThatEachFaultyPolicyBreaksAndNoneForTheBalancer) {
