Sessions that receive a request: one pass over them; shared test steps of uploads and streams

Need: the copy of a session queue stood three times, idle sessions had a second reader beside reject_if_incomplete, and the tests repeated an upload's and a streamed response's beginning.

Change: ClientListener::sessions_in serves close_idle_before as well; idle sessions are read by reject_if_incomplete, and read_idle is gone. Driver has request_with_pending_body and complete_body; host_replacement_test begins its streams in one place. A const_cast and a broken line in the soak are mended. Behaviour and all assertions are the same.

--- a/src/http/client_listener.cpp
+++ b/src/http/client_listener.cpp
@@ -298,9 +298,7 @@
   const auto connected_before = std::min(last_progress_before, Clock::now() - kFirstRequestGrace);
   for (const auto& [state, before] : {std::pair{SessionState::awaiting_request, connected_before},
                                       std::pair{SessionState::idle, last_progress_before}}) {
-    const SessionQueue& queue = sessions_.queue(state);
-    const std::vector<std::shared_ptr<ClientSession>> all(queue.begin(), queue.end());
-    for (const auto& session : all) {
+    for (const auto& session : sessions_in(state)) {
       if (session->last_progress_at() <= before && session->has_no_input()) {
         session->close_gracefully();
       }
@@ -311,32 +309,23 @@
 void ClientListener::take_no_requests(bool enabled) {
   if (enabled) {
     reject_incomplete_requests();
-    read_idle();
     close_idle_before(Clock::now());
   }
   sessions_.takes_no_requests = enabled;
 }
 
-void ClientListener::read_idle() {
-  const SessionQueue& queue = sessions_.queue(SessionState::idle);
-  const std::vector<std::shared_ptr<ClientSession>> all(queue.begin(), queue.end());
-  for (const auto& session : all) {
-    if (session->has_unread_input()) {
-      session->read_available();
+void ClientListener::reject_incomplete_requests() {
+  for (const SessionState state : {SessionState::awaiting_request, SessionState::idle,
+                                   SessionState::reading_head, SessionState::receiving_body}) {
+    for (const auto& session : sessions_in(state)) {
       session->reject_if_incomplete();
     }
   }
 }
 
-void ClientListener::reject_incomplete_requests() {
-  for (const SessionState state :
-       {SessionState::awaiting_request, SessionState::reading_head, SessionState::receiving_body}) {
-    const SessionQueue& queue = sessions_.queue(state);
-    const std::vector<std::shared_ptr<ClientSession>> all(queue.begin(), queue.end());
-    for (const auto& session : all) {
-      session->reject_if_incomplete();
-    }
-  }
+std::vector<std::shared_ptr<ClientSession>> ClientListener::sessions_in(SessionState state) {
+  const SessionQueue& queue = sessions_.queue(state);
+  return {queue.begin(), queue.end()};
 }
 
 void ClientListener::stop_accepting(std::chrono::milliseconds time_limit) {
--- a/src/http/client_listener.hpp
+++ b/src/http/client_listener.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "http/body_stream.hpp"
 #include "http/client_session.hpp"
@@ -92,7 +93,8 @@
   void close_disconnected();
   void close_idle_before(Clock::time_point last_progress_before);
   void reject_incomplete_requests();
-  void read_idle();
+  // A copy, as what is done to a session may change its state and so the queues.
+  std::vector<std::shared_ptr<ClientSession>> sessions_in(SessionState state);
   void on_session_closed();
   void sweep();
   void expire_sessions(SessionState state, std::chrono::milliseconds time_limit,
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -195,8 +195,8 @@
 
 // Part of a request may be missing.
 bool ClientSession::is_receiving() const {
-  return state_ == SessionState::awaiting_request || state_ == SessionState::reading_head ||
-         state_ == SessionState::receiving_body;
+  return state_ == SessionState::awaiting_request || state_ == SessionState::idle ||
+         state_ == SessionState::reading_head || state_ == SessionState::receiving_body;
 }
 
 void ClientSession::reject_if_incomplete() {
--- a/src/lab/soak/client_connection.cpp
+++ b/src/lab/soak/client_connection.cpp
@@ -121,8 +121,8 @@
   });
 }
 
-bool ClientConnection::has_input() const {
-  pollfd descriptor{const_cast<tcp::socket&>(socket_).native_handle(), POLLIN, 0};
+bool ClientConnection::has_input() {
+  pollfd descriptor{socket_.native_handle(), POLLIN, 0};
   return ::poll(&descriptor, 1, 0) > 0;
 }
 
--- a/src/lab/soak/client_connection.hpp
+++ b/src/lab/soak/client_connection.hpp
@@ -35,7 +35,7 @@
  private:
   void write_piece(std::size_t from);
   void schedule_piece(std::size_t from);
-  bool has_input() const;
+  bool has_input();
   void read();
   void watch_idle();
   void read_body();
--- a/src/lab/soak/gateway_restarts.hpp
+++ b/src/lab/soak/gateway_restarts.hpp
@@ -12,8 +12,8 @@
 namespace gateway::lab {
 
 struct RestartPlan {
-  std::chrono::milliseconds interval{
-      0};  // between the end of one and the start of the next; 0: none
+  // Between the end of one and the start of the next; 0: none.
+  std::chrono::milliseconds interval{0};
   // From SIGTERM to SIGKILL: the longest client timeout of the settings and 0.7 s.
   std::chrono::milliseconds kill_delay{0};
 };
--- a/tests/gateway/host_replacement_test.cpp
+++ b/tests/gateway/host_replacement_test.cpp
@@ -25,28 +25,37 @@
         until([&] { return !host.connections.empty() && host.connections[0]->has("\r\n\r\n"); }));
     return host.connections.at(0);
   }
-  static std::string head_of_streamed_response() {
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kStreamedBody) + "\r\n\r\n";
+  // Sends a request to `host`, which begins a long response: `stream` carries the rest of it.
+  void begin_streamed_response(RawHost& host) {
+    reader = RawConnection::connect(io, gateway->local_endpoint());
+    reader->send(request_text("read"));
+    stream = connection_with_request(host);
+    stream->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kStreamedBody) +
+                 "\r\n\r\n" + pattern(kStreamedBody).substr(0, kFirstBytes));
+    ASSERT_TRUE(until([&] { return reader->body_size() == kFirstBytes; }));
+  }
+  void begin_streamed_response_of_removed_host(RawHost& removed) {
+    discovery.list = {target("s-removed", removed.endpoint)};
+    start();
+    begin_streamed_response(removed);
+    push({{"uid", "s-removed"}, {"state", "DELETED"}});
   }
+
+  static constexpr std::size_t kFirstBytes = 1000;
+  std::shared_ptr<RawConnection> reader;  // the client's
+  std::shared_ptr<RawConnection> stream;  // the host's
 };
 
 // review/1: a keyed request ran in two zones, and a removed host got new requests, on a connection
 // that was kept under a reassigned host id.
 TEST_F(HostReplacementTest, StreamThatOutlivesItsHostIsNotReusedForTheHostWithItsId) {
   RawHost removed(io);
-  discovery.list = {target("s-removed", removed.endpoint)};
-  start();
-  auto reader = RawConnection::connect(io, gateway->local_endpoint());
-  reader->send(request_text("read"));
-  const auto stream = connection_with_request(removed);
+  begin_streamed_response_of_removed_host(removed);
   const std::string body = pattern(kStreamedBody);
-  stream->send(head_of_streamed_response() + body.substr(0, 1000));
-  ASSERT_TRUE(until([&] { return reader->body_size() == 1000; }));
-  push({{"uid", "s-removed"}, {"state", "DELETED"}});
   ASSERT_EQ(gateway->hosts(), 0u) << "the id is free although the response is streamed on";
   Peer joined(io, [](PeerConnection& c) { c.reply(response_text(200, "", "joined")); });
   push(target("s-joined", joined.endpoint, "b"));
-  stream->send(body.substr(1000));
+  stream->send(body.substr(kFirstBytes));
   ASSERT_TRUE(until([&] { return reader->body_size() == kStreamedBody; }));
   EXPECT_EQ(reader->body(), body);
   auto c = client();
@@ -66,22 +75,22 @@
     RawHost old_address(io);
     discovery.list = {target("s-moved", old_address.endpoint)};
     start();
-    auto reader = RawConnection::connect(io, gateway->local_endpoint());
-    reader->send(request_text("read"));
-    const auto connection = connection_with_request(old_address);
     if (streamed) {
-      connection->send(head_of_streamed_response() + pattern(1000));
-      ASSERT_TRUE(until([&] { return reader->body_size() == 1000; }));
+      begin_streamed_response(old_address);
+    } else {
+      reader = RawConnection::connect(io, gateway->local_endpoint());
+      reader->send(request_text("read"));
+      stream = connection_with_request(old_address);
     }
     Peer new_address(io, [](PeerConnection& c) { c.reply(response_text(200, "", "new")); });
     push(target("s-moved", new_address.endpoint));
-    connection->send(streamed ? pattern(kStreamedBody).substr(1000)
-                              : response_text(200, "", "old"));
+    stream->send(streamed ? pattern(kStreamedBody).substr(kFirstBytes)
+                          : response_text(200, "", "old"));
     ASSERT_TRUE(until([&] { return reader->body_size() == (streamed ? kStreamedBody : 3); }));
     auto c = client();
     c->send(request_text("write"));
-    ASSERT_TRUE(until([&] { return !c->responses.empty() || requests_on(*connection) > 1; }));
-    EXPECT_EQ(requests_on(*connection), 1u);
+    ASSERT_TRUE(until([&] { return !c->responses.empty() || requests_on(*stream) > 1; }));
+    EXPECT_EQ(requests_on(*stream), 1u);
     ASSERT_FALSE(c->responses.empty());
     EXPECT_EQ(c->responses[0].body(), "new");
     gateway.reset();
@@ -110,14 +119,7 @@
 // The log must not name the new host of an id for a connection to the old one.
 TEST_F(HostReplacementTest, CloseIsNotLoggedUnderTheHostWithItsId) {
   RawHost removed(io);
-  discovery.list = {target("s-removed", removed.endpoint)};
-  start();
-  auto reader = RawConnection::connect(io, gateway->local_endpoint());
-  reader->send(request_text("read"));
-  const auto stream = connection_with_request(removed);
-  stream->send(head_of_streamed_response() + pattern(1000));
-  ASSERT_TRUE(until([&] { return reader->body_size() == 1000; }));
-  push({{"uid", "s-removed"}, {"state", "DELETED"}});
+  begin_streamed_response_of_removed_host(removed);
   Peer joined(io, nullptr);
   push(target("s-joined", joined.endpoint, "b"));
   stream->close();
--- a/tests/load_balancer/latest_response_test.cpp
+++ b/tests/load_balancer/latest_response_test.cpp
@@ -14,20 +14,6 @@
     driver.balancer.set_latest_response(driver.now, driver.now + kTimeLeft);
     driver.collect();
   }
-  RequestId request_with_pending_body() {
-    Request request;
-    request.id = ++driver.last;
-    request.class_index = 1;
-    request.time_remaining = milliseconds(1000);
-    request.body_pending = true;
-    driver.balancer.on_request(driver.now, request);
-    driver.collect();
-    return request.id;
-  }
-  void complete_body(RequestId id) {
-    driver.balancer.on_request_complete(driver.now, id);
-    driver.collect();
-  }
   bool has_response(RequestId id) const { return driver.gateway_responses.count(id) == 1; }
 };
 
@@ -55,10 +41,10 @@
 
 // The clock of an upload starts at its last byte, which must not move its end beyond the limit.
 TEST_F(LatestResponseTest, UploadThatCompletesLaterEndsByThen) {
-  const RequestId id = request_with_pending_body();
+  const RequestId id = driver.request_with_pending_body(1);
   limit_responses();
   driver.advance(milliseconds(250));
-  complete_body(id);
+  driver.complete_body(id);
   driver.advance(milliseconds(100));
   EXPECT_FALSE(has_response(id));
   driver.advance(milliseconds(50));
@@ -67,13 +53,13 @@
 
 // The same where its first attempt fails during the upload, which restarts the clock as well.
 TEST_F(LatestResponseTest, RetriedUploadEndsByThen) {
-  const RequestId id = request_with_pending_body();
+  const RequestId id = driver.request_with_pending_body(1);
   limit_responses();
   driver.advance(milliseconds(100));
   driver.report_result(driver.last_sent(), AttemptOutcome::connect_failed, false);
   ASSERT_EQ(driver.sent.size(), 2u);
   EXPECT_LE(driver.last_sent().timeout, milliseconds(300));
-  complete_body(id);
+  driver.complete_body(id);
   driver.advance(milliseconds(300));
   EXPECT_TRUE(driver.failed(id));
 }
--- a/tests/load_balancer/pending_body_test.cpp
+++ b/tests/load_balancer/pending_body_test.cpp
@@ -8,33 +8,18 @@
 class PendingBodyTest : public ::testing::Test {
  protected:
   Driver driver{make_settings()};
-
-  RequestId request_with_pending_body(std::uint32_t class_index) {
-    Request request;
-    request.id = ++driver.last;
-    request.class_index = class_index;
-    request.time_remaining = milliseconds(1000);
-    request.body_pending = true;
-    driver.balancer.on_request(driver.now, request);
-    driver.collect();
-    return request.id;
-  }
-  void complete_body(RequestId id) {
-    driver.balancer.on_request_complete(driver.now, id);
-    driver.collect();
-  }
 };
 
 // A client on a slow link may need longer than its timeout to upload the body. Counted from the
 // arrival of the request, the time would end before a host can respond.
 TEST_F(PendingBodyTest, TimeRemainingCountsFromTheEndOfTheBody) {
-  const RequestId id = request_with_pending_body(1);
+  const RequestId id = driver.request_with_pending_body(1);
   ASSERT_EQ(driver.sent.size(), 1u) << "forwarded before its body is complete";
   EXPECT_LE(driver.last_sent().timeout, milliseconds(1000))
       << "counts from the end of the body too";
   driver.advance(seconds(30), milliseconds(50));
   EXPECT_EQ(driver.gateway_responses.count(id), 0u);
-  complete_body(id);
+  driver.complete_body(id);
   driver.advance(milliseconds(900));
   EXPECT_EQ(driver.gateway_responses.count(id), 0u);
   driver.advance(milliseconds(100));
@@ -46,7 +31,7 @@
 TEST_F(PendingBodyTest, PendingBodiesDoNotRaiseTheSheddingThreshold) {
   driver.warm_up(0, 40);
   for (int i = 0; i < 200; ++i) {
-    request_with_pending_body(1);
+    driver.request_with_pending_body(1);
   }
   EXPECT_EQ(driver.in_flight.size(), 200u) << "none was rejected";
   EXPECT_LE(driver.balancer.shedding_threshold(), 1);
@@ -55,13 +40,13 @@
 // The connect of the first attempt fails during the upload. The part of the body that has arrived
 // is still stored, so another host can have it.
 TEST_F(PendingBodyTest, RequestThatNeverRanIsRetriedWhileItIsStored) {
-  const RequestId id = request_with_pending_body(1);
+  const RequestId id = driver.request_with_pending_body(1);
   const SentAttempt first = driver.last_sent();
   driver.advance(seconds(5), milliseconds(50));
   driver.report_result(first, AttemptOutcome::connect_failed, false);
   ASSERT_EQ(driver.sent.size(), 2u);
   EXPECT_NE(driver.last_sent().host, first.host);
-  complete_body(id);
+  driver.complete_body(id);
   driver.serve(driver.last_sent());
   EXPECT_EQ(driver.balancer.active_requests(), 0u);
 }
@@ -71,7 +56,7 @@
 TEST_F(PendingBodyTest, RequestNoLongerStoredIsRejectedIfItNeverRanAndFailsOtherwise) {
   for (const AttemptOutcome outcome : {AttemptOutcome::connect_failed, AttemptOutcome::reset}) {
     driver.clear_history();
-    const RequestId id = request_with_pending_body(1);
+    const RequestId id = driver.request_with_pending_body(1);
     const SentAttempt first = driver.last_sent();
     driver.balancer.on_attempt_result(
         driver.now, {first.request, 0, first.host, outcome, milliseconds(1), false, true});
@@ -89,20 +74,20 @@
   driver = Driver(settings);
   driver.warm_up(0, 40);
   driver.clear_history();
-  const RequestId id = request_with_pending_body(0);
+  const RequestId id = driver.request_with_pending_body(0);
   driver.advance(milliseconds(500));
-  complete_body(id);
+  driver.complete_body(id);
   driver.advance(milliseconds(500));
   EXPECT_EQ(driver.sent.size(), 1u);
 }
 
 // The end of a body can arrive after its request has ended.
 TEST_F(PendingBodyTest, BodyEndOfUnknownOrEndedRequestIsIgnored) {
-  complete_body(99);
-  const RequestId id = request_with_pending_body(1);
+  driver.complete_body(99);
+  const RequestId id = driver.request_with_pending_body(1);
   driver.balancer.on_client_disconnected(driver.now, id);
   driver.collect();
-  complete_body(id);
+  driver.complete_body(id);
   driver.report_result(driver.last_sent(), AttemptOutcome::cancelled, true);
   EXPECT_EQ(driver.balancer.active_requests(), 0u);
 }
--- a/tests/support/balancer_driver.hpp
+++ b/tests/support/balancer_driver.hpp
@@ -126,6 +126,21 @@
     collect();
     return q.id;
   }
+  // The same for a request whose body is incomplete until complete_body().
+  RequestId request_with_pending_body(std::uint32_t cls) {
+    Request q;
+    q.id = ++last;
+    q.class_index = cls;
+    q.time_remaining = milliseconds(1000);
+    q.body_pending = true;
+    balancer.on_request(now, q);
+    collect();
+    return q.id;
+  }
+  void complete_body(RequestId id) {
+    balancer.on_request_complete(now, id);
+    collect();
+  }
   // Reports the result of an attempt; a negative `elapsed` stands for the time since it was sent.
   // `is_final`: the client needs no further response.
   void report_result(const SentAttempt& s, AttemptOutcome outcome, bool is_final,
