--- a/review/8/scenario.cpp
+++ b/review/10/scenario.cpp
@@ -1,5 +1,5 @@
 // A new version of a gateway that belongs to a fleet is started beside the running process.
-// Usage, from the root of the repository: case-8 RECORD. Result: see standins.hpp.
+// Usage, from the root of the repository: case-10 RECORD. Result: see standins.hpp.
 #include "standins.hpp"
 
 using namespace review;
--- a/review/7/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec "$(dirname "$0")/../run-2.sh" 7
