Review case 7: without the disruption the clients do not all come at once

With TROUBLE=0 the case held 31.2 MB of 32 once: a run without the disruption that fails was possible. Many clients at a time are part of the disruption that is quoted, so without it they come one each 5 ms. With the disruption nothing is changed.

--- a/review/7/scenario.cpp
+++ b/review/7/scenario.cpp
@@ -18,6 +18,7 @@
 constexpr int kWorkMs = 150;       // the mean of `consent` is 94 to 170 ms
 constexpr int kSlowWorkMs = 500;   // every host 1.5 to 3 times slower
 constexpr int kDeadlineMs = 2400;  // 80 % of the 3 s of `consent`
+constexpr int kCalmGapMs = 5;      // without the disruption the clients come one after another
 
 std::atomic<int> g_run{0};
 std::atomic<int> g_sent{0};
@@ -92,12 +93,14 @@
   note("resident before: " + std::to_string(resident_mb(gateway.program.pid())) + " MB");
   std::vector<std::thread> clients;
   const auto at = Clock::now() + Ms(700);
+  const Ms gap(with_trouble() ? 0 : kCalmGapMs);
   for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&gateway, at] { client(gateway, at); });
+    clients.emplace_back([&gateway, when = at + i * gap] { client(gateway, when); });
   }
   double peak = 0;
   double noted = 0;
-  for (const auto end = at + Ms(kDeadlineMs + 1500); Clock::now() < end; sleep_ms(10)) {
+  const auto end = at + kClients * gap + Ms(kDeadlineMs + 1500);
+  for (; Clock::now() < end; sleep_ms(10)) {
     const double now = resident_mb(gateway.program.pid());
     if (now > noted + 2) {
       note("resident: " + std::to_string(now) + " MB");
