Memory: what is freed in small steps is given back to the system too

Cause: ResourceMonitor gave free memory back only when what is held had fallen by 2 MiB since it last did. In a traced run it did so with 2,396 KiB still held; the fall from there to 388 KiB was less, so nothing gave back the rest.

Change: a fall of 64 KiB or more gives it back as well, at most once a second, as it takes milliseconds. A fall of 2 MiB does so at once, as before.

--- a/src/gateway/resource_monitor.cpp
+++ b/src/gateway/resource_monitor.cpp
@@ -24,7 +24,11 @@
 constexpr std::size_t kLevelHysteresis = 5;
 // Delay of a timer that is logged.
 constexpr milliseconds kLongDelay{100};
-constexpr std::size_t kFreeBytesToReturn = std::size_t{2} << 20;
+// A fall of what is held by this much gives free memory back at once.
+constexpr std::size_t kLargeFallBytes = std::size_t{2} << 20;
+// One by this much does so at most once in kSmallFallInterval, as giving back takes milliseconds.
+constexpr std::size_t kSmallFallBytes = std::size_t{64} << 10;
+constexpr milliseconds kSmallFallInterval{1000};
 
 std::int64_t milliseconds_of(ResourceMonitor::Clock::duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -91,13 +95,17 @@
   logged_level_ = level;
 }
 
-// The allocator keeps free blocks that lie between used ones.
+// The allocator keeps free blocks that lie between used ones. What is held falls in steps of any
+// size, and what the last step frees counts like what the first one did.
 void ResourceMonitor::return_free_memory() {
   const std::size_t held = sources_.held_bytes();
   peak_held_bytes_ = std::max(peak_held_bytes_, held);
-  if (peak_held_bytes_ - held >= kFreeBytesToReturn) {
+  const std::size_t fall = peak_held_bytes_ - held;
+  const bool is_due = clock_.now() - returned_at_ >= kSmallFallInterval;
+  if (fall >= kLargeFallBytes || (is_due && fall >= kSmallFallBytes)) {
     ::malloc_trim(0);
     peak_held_bytes_ = held;
+    returned_at_ = clock_.now();
   }
 }
 
--- a/src/gateway/resource_monitor.hpp
+++ b/src/gateway/resource_monitor.hpp
@@ -28,7 +28,7 @@
     /// What holds memory, as an object of names and bytes or counts. It is written with each line
     /// about memory: the next line may be the last one before the platform kills the process.
     std::function<nlohmann::ordered_json()> holders;
-    /// Bytes held for peers. When they have fallen far, free memory is given back to the system.
+    /// Bytes held for peers. When they have fallen, free memory is given back to the system.
     std::function<std::size_t()> held_bytes;
   };
 
@@ -57,6 +57,7 @@
   std::size_t peak_bytes_ = 0;
   std::size_t logged_level_ = 0;
   std::size_t peak_held_bytes_ = 0;  // since free memory was given back
+  Clock::time_point returned_at_;    // when it was
 };
 
 }  // namespace gateway
