Log: the end of an attempt says how much of its response had come

Change: `response_head` and `body_bytes` on attempt_failed and attempt_succeeded. The completion of an attempt is filled in one place.

--- a/src/gateway/event_recorder.cpp
+++ b/src/gateway/event_recorder.cpp
@@ -173,7 +173,9 @@
                {"attempt", std::int64_t{completion.key.attempt}},
                {"host", host_name(completion.host)},
                {"connection", static_cast<std::int64_t>(completion.connection)},
-               {"elapsed_ms", milliseconds_of(completion.elapsed)}});
+               {"elapsed_ms", milliseconds_of(completion.elapsed)},
+               {"response_head", std::int64_t{completion.received.has_head}},
+               {"body_bytes", static_cast<std::int64_t>(completion.received.body_bytes)}});
 }
 
 void EventRecorder::on_rejected(const ProxiedRequest& request, EndReason reason) {
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -57,6 +57,8 @@
   key_ = key;
   request_ = std::move(request);
   request_stream_ = std::move(body);
+  head_complete_ = false;
+  body_size_ = 0;
   sent_at_ = now;
   response_timeout_ = std::max(timeouts.response, Duration::zero());
   deadline_ = now + response_timeout_;
@@ -325,6 +327,17 @@
 
 // --- The end of an attempt ---
 
+AttemptCompletion UpstreamConnection::completion_of(Outcome outcome) const {
+  AttemptCompletion completion;
+  completion.key = key_;
+  completion.host = host();
+  completion.outcome = outcome;
+  completion.elapsed = Clock::now() - sent_at_;
+  completion.connection = id_;
+  completion.received = {head_complete_, body_size_};
+  return completion;
+}
+
 // The connection is kept only after a complete response: a late response to a cancelled attempt
 // would be taken for the response to the next request. The attempt of a streamed response has been
 // reported before, so only the connection is closed.
@@ -333,8 +346,7 @@
   if (response_stream_) {
     return close(HostCloseReason::stream_ended);
   }
-  AttemptCompletion completion{key_,         host(), outcome, Clock::now() - sent_at_,
-                               std::nullopt, {},     id_,     nullptr};
+  AttemptCompletion completion = completion_of(outcome);
   if (outcome == Outcome::success || outcome == Outcome::rejected_by_host) {
     completion.load = load_report_of(response_);
   }
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -33,6 +33,12 @@
   bool operator==(const AttemptKey&) const = default;
 };
 
+/// How much of a response an attempt has received.
+struct ResponseProgress {
+  bool has_head = false;
+  std::uint64_t body_bytes = 0;
+};
+
 /// How an attempt ended.
 struct AttemptCompletion {
   AttemptKey key;
@@ -46,6 +52,7 @@
   /// Null: the response is complete. Else its body comes from here, and is aborted if the host
   /// fails.
   std::shared_ptr<BodyStream> stream;
+  ResponseProgress received;
 };
 
 /// A host as it was when a connection to it was opened. The id alone does not tell: it is assigned
@@ -197,6 +204,7 @@
   void start_streaming_response();
   void restart_stall_timer();
 
+  AttemptCompletion completion_of(Outcome outcome) const;
   void finish_attempt(Outcome outcome, Reuse reuse = Reuse::forbidden);
   void keep_or_close(Reuse reuse, HostCloseReason reason);
   void become_idle();
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -123,7 +123,11 @@
 }
 
 void UpstreamPool::report_connect_failure(AttemptKey key, HostId host) {
-  on_completion_({key, host, AttemptOutcome::connect_failed, {}, std::nullopt, {}, 0, nullptr});
+  AttemptCompletion completion;
+  completion.key = key;
+  completion.host = host;
+  completion.outcome = AttemptOutcome::connect_failed;
+  on_completion_(std::move(completion));
 }
 
 void UpstreamPool::cancel(AttemptKey key) {
--- a/src/http/upstream_response.cpp
+++ b/src/http/upstream_response.cpp
@@ -305,9 +305,9 @@
     }
   };
   state_ = State::reading;
-  AttemptCompletion completion{
-      key_, host(), Outcome::success, Clock::now() - sent_at_, load_report_of(response_),
-      {},   id_,    response_stream_};
+  AttemptCompletion completion = completion_of(Outcome::success);
+  completion.load = load_report_of(response_);
+  completion.stream = response_stream_;
   completion.response = std::move(response_);
   owner_->release_attempt(key_);
   owner_->add_stream(self);
