Responses: a long one whose body begins late is not cut off at the deadline

Cause: UpstreamConnection::schedule_streaming waited once, 100 ms from the head on, and did nothing where no byte of the body had come by then; the response was held until 64 KiB or the deadline. A second way to the same loss: head and body less than 100 ms before the deadline.

Change: a response of unknown length has a time from which it is passed on, 100 ms after its head and at the latest 20 ms before the attempt's time limit. Its timer passes on what has come; what comes later is passed on at once.

--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -201,6 +201,8 @@
   Outcome outcome_of_response() const;
 
   void schedule_streaming();
+  void start_streaming_timer();
+  void stream_buffered_body();
   void start_streaming_response();
   void restart_stall_timer();
 
@@ -242,6 +244,8 @@
   // Latest time to write the first byte of the request and the last one of its body: written later,
   // they could make the host execute the request too late.
   Clock::time_point start_by_;
+  // From then on a response of unknown length is streamed; set with streaming_timer_generation_.
+  Clock::time_point streaming_due_at_;
   Duration response_timeout_{};  // restarted at the end of a streamed request body
   // Count the waits of timeout_timer_ and the responses that streaming_timer_ was started for. An
   // expiry that is already queued when its timer is restarted has an older number and is ignored.
--- a/src/http/upstream_response.cpp
+++ b/src/http/upstream_response.cpp
@@ -1,5 +1,6 @@
 /// @file
 /// Reading a host's response: complete, or streamed while its body arrives.
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
@@ -268,22 +269,36 @@
 
 // --- A response that is streamed before it is complete ---
 
+// The body may begin at any time after the head: before its first byte there is nothing to stream,
+// and from the due time on each byte is passed on at once.
 void UpstreamConnection::schedule_streaming() {
-  if (streaming_timer_generation_ == response_generation_) {
-    return;
+  const auto now = Clock::now();
+  if (streaming_timer_generation_ != response_generation_) {
+    streaming_timer_generation_ = response_generation_;
+    streaming_due_at_ = std::min(now + kStreamingDelay, deadline_ - kStreamingMargin);
+    start_streaming_timer();
+  }
+  if (now >= streaming_due_at_) {
+    stream_buffered_body();
   }
-  streaming_timer_generation_ = response_generation_;
-  streaming_timer_.expires_after(kStreamingDelay);
+}
+
+void UpstreamConnection::start_streaming_timer() {
+  streaming_timer_.expires_at(streaming_due_at_);
   streaming_timer_.async_wait(
       [self = shared_from_this(), generation = response_generation_](error_code ec) {
-        if (ec || generation != self->response_generation_ || self->state_ != State::reading ||
-            self->response_stream_ || self->buffered_body_.empty()) {
-          return;
+        if (!ec && generation == self->response_generation_) {
+          self->stream_buffered_body();
         }
-        self->start_streaming_response();
       });
 }
 
+void UpstreamConnection::stream_buffered_body() {
+  if (state_ == State::reading && !response_stream_ && !buffered_body_.empty()) {
+    start_streaming_response();
+  }
+}
+
 // Reports the attempt as successful; the connection then carries the rest of the response.
 void UpstreamConnection::start_streaming_response() {
   const auto self = shared_from_this();
--- a/tests/support/raw_peers.hpp
+++ b/tests/support/raw_peers.hpp
@@ -28,9 +28,11 @@
   void send(const std::string& text) {
     auto buffer = std::make_shared<std::string>(text);
     unsent += text.size();
-    asio::async_write(
-        socket_, asio::buffer(*buffer),
-        [self = shared_from_this(), buffer](error_code, std::size_t n) { self->unsent -= n; });
+    asio::async_write(socket_, asio::buffer(*buffer),
+                      [self = shared_from_this(), buffer](error_code, std::size_t n) {
+                        self->unsent -= n;
+                        self->shut_down_if_sent();
+                      });
   }
   void read() {
     socket_.async_read_some(asio::buffer(piece_),
@@ -52,6 +54,11 @@
     }
   }
   void close() { socket_.close(); }
+  // Ends the own side once all that was passed to send() so far is written.
+  void shut_down_sending() {
+    shut_down_when_sent_ = true;
+    shut_down_if_sent();
+  }
   // All that was received after the first head, with its framing; empty before the head's end.
   std::string body() const {
     return received.substr(std::min(received.find("\r\n\r\n") + 4, received.size()));
@@ -76,7 +83,15 @@
   bool closed = false, paused = false, stopped = false;
 
  private:
+  void shut_down_if_sent() {
+    if (shut_down_when_sent_ && unsent == 0) {
+      error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+  }
+
   tcp::socket socket_;
+  bool shut_down_when_sent_ = false;
   std::array<char, 65536> piece_{};
   mutable std::size_t head_size_ = 0;
 };
