Memory: buffered responses are held to the budget

Cause: UpstreamConnection took memory for a response and charged it afterwards; the budget decided on requests and streams only. The log's holders show it: 26.1 MB in responses of 11.5 MB in all.

Change: memory for a short body of known length is asked for before, as a whole. Without it the gateway reads no further until the rest is in the socket (SO_RCVLOWAT), and streams the response then. A response of unknown length is streamed at once while memory is short. Bodies of failures are not kept, and a streamed upload frees its input buffer with its last byte.

--- a/src/http/body_codec.hpp
+++ b/src/http/body_codec.hpp
@@ -2,8 +2,11 @@
 /// Chunks of messages that are streamed.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <cstddef>
 #include <cstdio>
 #include <string>
 #include <string_view>
@@ -29,4 +32,13 @@
   socket.set_option(boost::asio::socket_base::receive_buffer_size(kBytes), ignored);
 }
 
+/// A socket is readable once it has received so many bytes, or earlier if its connection has ended
+/// or the system can't keep them.
+inline void set_receive_low_watermark(boost::asio::ip::tcp::socket& socket, std::size_t bytes) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::receive_low_watermark(
+                        static_cast<int>(std::max(bytes, std::size_t{1}))),
+                    ignored);
+}
+
 }  // namespace gateway::http
--- a/src/http/client_session_request.cpp
+++ b/src/http/client_session_request.cpp
@@ -258,6 +258,9 @@
     return stream->full() ? void() : wait_for_input();
   }
   request_stream_.reset();
+  if (buffer_.size() == 0) {
+    buffer_.shrink_to_fit();
+  }
   enter(SessionState::awaiting_response);
   stream->finish(input_arrived_at_);
   if (state_ != SessionState::awaiting_response) {
--- a/src/http/memory_budget.hpp
+++ b/src/http/memory_budget.hpp
@@ -34,6 +34,9 @@
   /// Whether one holder may hold so many bytes now. What a holder may have shrinks with what is
   /// free, so the large ones are refused first and small ones still find room.
   bool admits(std::size_t bytes) const { return bytes <= free() / kHolderDivisor; }
+  /// The same for a response: its request may have been executed, so it gets more of what is free
+  /// than a request that can still be refused.
+  bool admits_response(std::size_t bytes) const { return bytes <= free() / kResponseDivisor; }
 
   void add(MemoryUse use, std::size_t bytes) {
     used_by_.at(static_cast<std::size_t>(use)) += bytes;
@@ -47,6 +50,7 @@
 
  private:
   static constexpr std::size_t kHolderDivisor = 16;
+  static constexpr std::size_t kResponseDivisor = 4;
 
   std::size_t limit_bytes_ = 64 << 20;
   std::size_t used_bytes_ = 0;
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -192,10 +192,16 @@
   ParseResult on_early_success();
   ParseResult parse_body();
   void continue_body();
+  bool reserve_body();
+  void await_whole_body();
+  void stream_whole_body();
+  std::size_t read_limit() const;
   void complete_response(Reuse reuse);
 
   unsigned status() const { return static_cast<unsigned>(response_.status); }
+  bool has_short_body() const;
   bool has_long_body() const;
+  bool has_unknown_length() const;
   bool has_delimited_body() const;
   bool can_reuse() const;
   Outcome outcome_of_response() const;
@@ -260,7 +266,9 @@
   bool head_complete_ = false;
   bool receiving_ = false;
   bool response_held_ = false;  // a head was parsed before the end of the last write
-  bool parsing_ = false;        // parse_response() is running and calls receive() itself
+  // Memory is short: the socket keeps the rest of the response until all of it has arrived.
+  bool awaiting_whole_body_ = false;
+  bool parsing_ = false;  // parse_response() is running and calls receive() itself
   bool last_write_started_ = false;
 };
 
--- a/src/http/upstream_response.cpp
+++ b/src/http/upstream_response.cpp
@@ -23,6 +23,9 @@
 
 // Interim responses (1xx) accepted before the final one; more than any host should send.
 constexpr int kMaxInterimResponses = 8;
+// Bytes read at a time while memory is short and the head of a response is incomplete. Enough for
+// most heads.
+constexpr std::size_t kHeadReadChunk = 1 << 10;
 
 }  // namespace
 
@@ -63,10 +66,16 @@
 
 // Reads into a shared buffer, so that a connection that waits for its host holds none.
 void UpstreamConnection::read_available() {
+  if (awaiting_whole_body_) {
+    stream_whole_body();
+    if (!is_active()) {
+      return;
+    }
+  }
   error_code ec;
   socket_.non_blocking(true, ec);
   auto& read_buffer = owner_->read_buffer();
-  const std::size_t received = socket_.read_some(asio::buffer(read_buffer), ec);
+  const std::size_t received = socket_.read_some(asio::buffer(read_buffer, read_limit()), ec);
   if (ec == asio::error::would_block || ec == asio::error::try_again ||
       ec == asio::error::interrupted) {
     return receive();
@@ -79,6 +88,12 @@
   on_received();
 }
 
+// Of a response for which there may be no memory, little more than the head is read at first.
+std::size_t UpstreamConnection::read_limit() const {
+  const bool is_short = !owner_->memory_budget()->admits_response(kBufferedBodyLimit);
+  return !head_complete_ && is_short ? kHeadReadChunk : kReadChunk;
+}
+
 void UpstreamConnection::on_read_error(error_code ec) {
   // The host may have received the last byte although the write has not completed yet: once the
   // last write is started, the request may have been executed.
@@ -189,26 +204,28 @@
   }
   if (response_stream_) {
     response_stream_->push(body);
-  } else {
-    buffered_body_ += body;
+  } else if (status() == 200) {
+    buffered_body_ += body;  // of any other status, only the head is used
   }
   // push() may have made the reader drop the stream, which closes this connection.
   return is_active() ? ParseResult::proceed : ParseResult::stop;
 }
 
 void UpstreamConnection::continue_body() {
-  if (!response_stream_ && (has_long_body() || buffered_body_.size() > kBufferedBodyLimit)) {
+  if (!response_stream_ && (has_long_body() || body_size_ > kBufferedBodyLimit)) {
     if (status() != 200) {
       return finish_attempt(outcome_of_response());
     }
     start_streaming_response();
-  } else if (!response_stream_ && status() == 200 && !parser_->content_length() &&
-             (parser_->chunked() || !parser_->keep_alive())) {
+  } else if (!response_stream_ && status() == 200 && has_unknown_length()) {
     schedule_streaming();
   }
   if (!is_active()) {
     return;
   }
+  if (!response_stream_ && status() == 200 && has_short_body() && !reserve_body()) {
+    return await_whole_body();
+  }
   if (response_stream_) {
     restart_stall_timer();
   }
@@ -221,6 +238,41 @@
   }
 }
 
+// Takes memory for all of a short body at once: a part of it is of no use while the rest has none.
+// Returns false if there is too little.
+bool UpstreamConnection::reserve_body() {
+  const auto length = static_cast<std::size_t>(*parser_->content_length());
+  if (buffered_body_.capacity() >= length) {
+    return true;
+  }
+  if (!owner_->memory_budget()->admits_response(length)) {
+    return false;
+  }
+  buffered_body_.reserve(length);
+  return true;
+}
+
+// Reads no further until the rest of the body has arrived at the socket. It is then passed on as
+// fast as the client takes it, so that the response needs no memory while the host writes it.
+void UpstreamConnection::await_whole_body() {
+  awaiting_whole_body_ = true;
+  buffer_.shrink_to_fit();
+  const auto rest = static_cast<std::size_t>(*parser_->content_length_remaining());
+  set_receive_low_watermark(socket_, rest);
+  receive();
+}
+
+// The system may report a socket as readable before that, when it has no memory for the rest or the
+// host has ended the connection; the body is then buffered as far as it has come.
+void UpstreamConnection::stream_whole_body() {
+  awaiting_whole_body_ = false;
+  set_receive_low_watermark(socket_, 1);
+  error_code ec;
+  if (socket_.available(ec) >= *parser_->content_length_remaining() && !ec) {
+    start_streaming_response();
+  }
+}
+
 void UpstreamConnection::complete_response(Reuse reuse) {
   // The response came before the request was completely written: the host would take the next
   // request for the rest of this one.
@@ -236,6 +288,10 @@
   keep_or_close(reuse, HostCloseReason::response_closes);
 }
 
+bool UpstreamConnection::has_short_body() const {
+  return parser_->content_length() && *parser_->content_length() <= kBufferedBodyLimit;
+}
+
 bool UpstreamConnection::has_long_body() const {
   return parser_->content_length() && *parser_->content_length() > kBufferedBodyLimit;
 }
@@ -244,6 +300,11 @@
   return parser_->chunked() || parser_->content_length().has_value();
 }
 
+// The body is chunked, or ends with the connection.
+bool UpstreamConnection::has_unknown_length() const {
+  return !parser_->content_length() && (parser_->chunked() || !parser_->keep_alive());
+}
+
 // Bytes that follow a complete response would be taken for the next response.
 bool UpstreamConnection::can_reuse() const {
   return parser_->keep_alive() && buffer_.size() == 0;
@@ -270,7 +331,7 @@
 // --- A response that is streamed before it is complete ---
 
 // The body may begin at any time after the head: before its first byte there is nothing to stream,
-// and from the due time on each byte is passed on at once.
+// and from the due time on, or while memory is short, each byte is passed on at once.
 void UpstreamConnection::schedule_streaming() {
   const auto now = Clock::now();
   if (streaming_timer_generation_ != response_generation_) {
@@ -278,7 +339,7 @@
     streaming_due_at_ = std::min(now + kStreamingDelay, deadline_ - kStreamingMargin);
     start_streaming_timer();
   }
-  if (now >= streaming_due_at_) {
+  if (now >= streaming_due_at_ || !owner_->memory_budget()->admits_response(kBufferedBodyLimit)) {
     stream_buffered_body();
   }
 }
--- a/src/lab/soak/client_crowd.cpp
+++ b/src/lab/soak/client_crowd.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t kUploadPieceBytes = 3200;  // 64 kB a second
 constexpr std::size_t kResponseBytes = 900'000;
 constexpr std::size_t kIdleReaderBytes = 60'000;
+constexpr std::size_t kWholeBodyBytes = 30'000;
+constexpr std::size_t kShortResponseBytes = 65'000;
 constexpr std::size_t kSlowReadBytes = 2000;
 constexpr std::size_t kReadAheadBytes = 70'000;
 constexpr std::size_t kPaddingBytes = 2000;  // of each request that is sent ahead
@@ -125,6 +127,13 @@
       return {flood(source.random), {}, 0};
     case CrowdKind::probe_flood:
       return {probes(), {}, 0};
+    case CrowdKind::whole_body:
+      return {head_of_write(source, kWholeBodyBytes) + std::string(kWholeBodyBytes, '#'), {}, 0};
+    case CrowdKind::slow_short_reader:
+      return {head_of_read(source) + "X-Response-Bytes: " + std::to_string(kShortResponseBytes) +
+                  "\r\n\r\n",
+              {},
+              0};
     case CrowdKind::idle_reader:
       return {head_of_read(source) + "X-Response-Bytes: " + std::to_string(kIdleReaderBytes) +
                   "\r\n\r\n",
@@ -156,6 +165,10 @@
       return "probe_flood";
     case CrowdKind::idle_reader:
       return "idle_reader";
+    case CrowdKind::whole_body:
+      return "whole_body";
+    case CrowdKind::slow_short_reader:
+      return "slow_short_reader";
   }
   return "unknown";
 }
@@ -232,8 +245,12 @@
     });
   }
 
+  bool reads_slowly() const {
+    return kind_ == CrowdKind::slow_reader || kind_ == CrowdKind::slow_short_reader;
+  }
+
   void read() {
-    const std::size_t size = kind_ == CrowdKind::slow_reader ? kSlowReadBytes : input_.size();
+    const std::size_t size = reads_slowly() ? kSlowReadBytes : input_.size();
     socket_.async_read_some(asio::buffer(input_.data(), size),
                             [self = shared_from_this()](error_code ec, std::size_t) {
                               if (self->is_open_) {
@@ -247,7 +264,7 @@
       return reopen_later();
     }
     ++crowd_->responses_;
-    if (kind_ == CrowdKind::slow_reader) {
+    if (reads_slowly()) {
       return wait(kPieceInterval, [this] { read(); });
     }
     if (kind_ == CrowdKind::many_fields || (kind_ == CrowdKind::probe_flood && !is_writing_)) {
--- a/src/lab/soak/client_crowd.hpp
+++ b/src/lab/soak/client_crowd.hpp
@@ -17,20 +17,23 @@
 namespace gateway::lab {
 
 enum class CrowdKind {
-  many_fields,   // complete heads of very many short fields
-  growing_head,  // a head that grows slowly and never ends
-  half_body,     // a buffered body that stops half-way
-  slow_upload,   // a long body at 64 kB a second
-  slow_reader,   // reads a long response slowly
-  read_ahead,    // sends more requests before its response
-  flood,         // small requests under new names without a pause
-  probe_flood,   // GET /up on one connection without a pause
-  idle_reader    // reads one long response and keeps its connection
+  many_fields,       // complete heads of very many short fields
+  growing_head,      // a head that grows slowly and never ends
+  half_body,         // a buffered body that stops half-way
+  slow_upload,       // a long body at 64 kB a second
+  slow_reader,       // reads a long response slowly
+  read_ahead,        // sends more requests before its response
+  flood,             // small requests under new names without a pause
+  probe_flood,       // GET /up on one connection without a pause
+  idle_reader,       // reads one long response and keeps its connection
+  whole_body,        // a buffered body, complete at once
+  slow_short_reader  // reads slowly a response that is just short enough to be buffered
 };
 inline constexpr CrowdKind kAllCrowdKinds[] = {
-    CrowdKind::many_fields, CrowdKind::growing_head, CrowdKind::half_body,
-    CrowdKind::slow_upload, CrowdKind::slow_reader,  CrowdKind::read_ahead,
-    CrowdKind::flood,       CrowdKind::probe_flood,  CrowdKind::idle_reader};
+    CrowdKind::many_fields, CrowdKind::growing_head,     CrowdKind::half_body,
+    CrowdKind::slow_upload, CrowdKind::slow_reader,      CrowdKind::read_ahead,
+    CrowdKind::flood,       CrowdKind::probe_flood,      CrowdKind::idle_reader,
+    CrowdKind::whole_body,  CrowdKind::slow_short_reader};
 // Those that pressure_soak_plan() draws from. One more would give its seeds other runs.
 inline constexpr std::size_t kDrawnCrowdKinds = 7;
 const char* name_of(CrowdKind kind);
--- a/src/lab/soak/faulty_host.hpp
+++ b/src/lab/soak/faulty_host.hpp
@@ -29,7 +29,8 @@
   double long_share = 0;      // of the requests: answered with long_bytes over long_duration
   std::size_t long_bytes = 400'000;
   std::chrono::milliseconds long_duration{2000};
-  double late_accept_share = 0;  // of the connections: read only after accept_delay
+  bool chunks_long_responses = false;  // else their length is known
+  double late_accept_share = 0;        // of the connections: read only after accept_delay
   std::chrono::milliseconds accept_delay{0};
   std::chrono::milliseconds idle_timeout{0};  // closes connections that are idle; 0: never
   double stuck_share =
--- a/src/lab/soak/host_connection.cpp
+++ b/src/lab/soak/host_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <cstdlib>
 #include <limits>
+#include <sstream>
 #include <utility>
 
 #include "runtime/arrival_time.hpp"
@@ -32,6 +33,18 @@
 // A request with this field gets a response of so many bytes.
 constexpr const char* kResponseBytesField = "X-Response-Bytes";
 
+std::string chunked_response_text(const std::string& body) {
+  constexpr std::size_t kChunkBytes = 2000;
+  std::ostringstream text;
+  text << "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" << std::hex;
+  for (std::size_t from = 0; from < body.size(); from += kChunkBytes) {
+    const std::string chunk = body.substr(from, kChunkBytes);
+    text << chunk.size() << "\r\n" << chunk << "\r\n";
+  }
+  text << "0\r\n\r\n";
+  return text.str();
+}
+
 }  // namespace
 
 HostConnection::HostConnection(FaultyHost& host, tcp::socket socket)
@@ -234,8 +247,9 @@
 
 void HostConnection::start_long_response() {
   last_body_.clear();  // no stray bytes follow
-  long_response_ =
-      response_text(200, "", RequestLedger::long_body_for(current_->id, host_->plan_.long_bytes));
+  const std::string body = RequestLedger::long_body_for(current_->id, host_->plan_.long_bytes);
+  long_response_ = host_->plan_.chunks_long_responses ? chunked_response_text(body)
+                                                      : response_text(200, "", body);
   end_attempt();
   write_long_piece();
 }
--- a/tests/lab/client_pressure_test.cpp
+++ b/tests/lab/client_pressure_test.cpp
@@ -136,6 +136,63 @@
                                                 CrowdKind::read_ahead, CrowdKind::many_fields}}),
                          [](const auto& info) { return std::string(info.param.name); });
 
+struct ResponseCase {
+  const char* name;
+  std::size_t memory_mb;
+  std::size_t descriptors;
+  std::size_t connections;
+  CrowdKind kind;
+  std::size_t response_bytes;
+  milliseconds response_duration;
+  bool is_chunked;
+};
+
+std::ostream& operator<<(std::ostream& out, const ResponseCase& response_case) {
+  return out << response_case.name;
+}
+
+class BufferedResponseTest : public ::testing::TestWithParam<ResponseCase> {};
+
+// Guards against responses that are buffered although no memory is left: hundreds of slow ones of
+// just under 64 KiB took a process over its memory limit.
+TEST_P(BufferedResponseTest, SlowResponsesStayWithinMemoryLimit) {
+  const ResponseCase& response_case = GetParam();
+  SoakPlan plan = small_gateway_plan();
+  plan.memory_mb = response_case.memory_mb;
+  plan.descriptors = response_case.descriptors;
+  plan.hosts = 14;
+  plan.clients.rate = 20;
+  plan.clients.requests = 80;
+  plan.host.min_service = milliseconds(500);
+  plan.host.max_service = milliseconds(500);
+  plan.host.long_share = response_case.response_duration > milliseconds(0) ? 1 : 0;
+  plan.host.long_bytes = response_case.response_bytes;
+  plan.host.long_duration = response_case.response_duration;
+  plan.host.chunks_long_responses = response_case.is_chunked;
+  plan.crowd = {
+      response_case.connections, {response_case.kind}, milliseconds(300), milliseconds(3500)};
+  const SoakResult result = run(plan);
+  EXPECT_TRUE(result.process_failures.empty()) << summary(result);
+  expect_within_memory_limit(plan, result);
+  EXPECT_EQ(result.ledger.violations(), 0u) << summary(result);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses, BufferedResponseTest,
+    ::testing::Values(ResponseCase{"known_length", 32, 1024, 341, CrowdKind::whole_body, 65'000,
+                                   milliseconds(1000), false},
+                      ResponseCase{"chunked", 32, 1024, 341, CrowdKind::whole_body, 65'000,
+                                   milliseconds(1000), true},
+                      ResponseCase{"shorter_ones", 32, 1024, 541, CrowdKind::whole_body, 40'000,
+                                   milliseconds(600), false},
+                      ResponseCase{"few_descriptors", 32, 256, 285, CrowdKind::whole_body, 65'000,
+                                   milliseconds(1000), false},
+                      ResponseCase{"more_memory", 64, 1024, 541, CrowdKind::whole_body, 65'000,
+                                   milliseconds(1000), false},
+                      ResponseCase{"slow_readers", 32, 1024, 341, CrowdKind::slow_short_reader, 0,
+                                   milliseconds(0), false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // Guards against a clock that starts when the gateway has read a request, which it does no faster
 // than the host: the client's deadline passed without a response.
 TEST(ClientPressure, UploadToHostThatStopsReadingGetsResponseByDeadline) {
