Fleet: a new version takes part beside the old process, then takes over

Cause: membership::Transport bound the fleet's UDP address in each process.

Change: beside a process of the same gateway the new one joins at a free port as NAME+next. It issues no tokens of limits, gets those that others spare, and reports no hosts. Every 50 ms it tries to bind the address, and admits as NAME once that member issues tokens. An address that something else holds still ends the start.

Evidence: FleetUpgrade with real processes: none of 100 requests refused before, during and after an upgrade, after a kill and at the upgrade after the next; a limit of 40 requests a second holds for both processes together.

--- a/src/fleet_agent/fleet_agent.cpp
+++ b/src/fleet_agent/fleet_agent.cpp
@@ -1,398 +1,190 @@
 #include "fleet_agent/fleet_agent.hpp"
 
-#include <sys/random.h>
-
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
-#include "fleet_agent/event_log.hpp"
-#include "membership/transport.hpp"
+#include "fleet_agent/fleet_member.hpp"
 
 namespace gateway::fleet_agent {
-
-using fleet_state::FleetState;
-using fleet_state::Time;
-using nlohmann::ordered_json;
-
 namespace {
 
-constexpr auto kTickInterval = std::chrono::milliseconds(100);
-constexpr unsigned kTicksPerGaugeLine = 10;  // one line of gauges per second
-// Members to which an urgent update is sent without waiting for a protocol message to carry it, and
-// the minimum time between two such updates. Gossip delivers it to the other members.
-constexpr std::size_t kUrgentUpdateRecipients = 1;
-constexpr auto kUrgentUpdateInterval = std::chrono::milliseconds(400);
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
 
-// Returns a random id other than 0; in payloads 0 means that there is no id.
-std::uint64_t random_incarnation_id() {
-  std::uint64_t id = 0;
-  if (::getrandom(&id, sizeof id, 0) != sizeof id) {
-    id = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
-  }
-  return id | 1;
-}
+// Interval at which a successor tries to take over the member's address.
+constexpr auto kTakeoverInterval = std::chrono::milliseconds(50);
 
-double to_tokens(fleet_state::Amount amount) {
-  return static_cast<double>(amount) / fleet_state::kOneToken;
+// Returns nothing if another process holds the address.
+std::optional<udp::socket> bind_if_free(asio::io_context& io, const udp::endpoint& endpoint) {
+  udp::socket socket(io, endpoint.protocol());
+  error_code ec;
+  socket.bind(endpoint, ec);
+  if (ec == asio::error::address_in_use) {
+    return std::nullopt;
+  }
+  if (ec) {
+    throw boost::system::system_error(ec, "bind");
+  }
+  return socket;
 }
 
 }  // namespace
 
 class FleetAgent::Impl {
  public:
-  Impl(boost::asio::io_context& io, Config config, GatewayControls controls);
-
-  // Unix time, advanced by the monotonic clock: the system clock is read once, because a step back
-  // of it would make expired tokens valid again.
-  Time now() const {
-    return unix_time_at_start_ + (std::chrono::steady_clock::now() - steady_time_at_start_);
-  }
-  FleetState& fleet_state() { return fleet_state_; }
-  std::string status_json() const;
-  void leave();
-
- private:
-  membership::Transport::Callbacks transport_callbacks();
-  void log_event(const ordered_json& fields) { log_.write(now(), fields); }
-  void log_start();
-  void log_usage();
-  void add_gauges(ordered_json& line) const;
-  void on_member_change(const membership::MemberChange& change);
-  void update_view();
-  void tick();
-  void send_updates();
-  void apply_ejections();
-  void set_ejected(const std::string& host, bool ejected);
-  ordered_json members_json() const;
-  ordered_json limits_json() const;
-  ordered_json health_reports_json() const;
-  ordered_json datagrams_json() const;
-
-  Config config_;
-  GatewayControls controls_;
-  std::chrono::steady_clock::time_point steady_time_at_start_ = std::chrono::steady_clock::now();
-  Time unix_time_at_start_ = std::chrono::system_clock::now().time_since_epoch();
-  std::uint64_t incarnation_id_ = random_incarnation_id();  // of this process
-  EventLog log_;
-  FleetState fleet_state_;
-  membership::Transport transport_;
-  boost::asio::steady_timer timer_;
-  fleet_state::FleetView view_;
-  bool view_is_stale_ = true;
-  std::set<std::string> ejected_hosts_;  // uids, as last passed to the gateway
-  Time urgent_update_sent_at_{};
-  unsigned ticks_ = 0;
-  FleetState::Counters logged_counters_;  // as of the latest "used" line
-};
-
-FleetAgent::Impl::Impl(boost::asio::io_context& io, Config config, GatewayControls controls)
-    : config_(std::move(config)),
-      controls_(std::move(controls)),
-      log_(config_.event_log_path),
-      fleet_state_(config_.fleet_state, config_.membership.name, incarnation_id_, now()),
-      transport_(io, config_.listen, membership::fleet_id(config_.fleet_name), config_.membership,
-                 static_cast<std::uint64_t>(now() / std::chrono::milliseconds(1)), incarnation_id_,
-                 transport_callbacks()),
-      timer_(io) {
-  logged_counters_.admitted.resize(config_.fleet_state.limits.size());
-  log_start();
-  update_view();
-  transport_.join(config_.seeds);
-  tick();
-}
-
-membership::Transport::Callbacks FleetAgent::Impl::transport_callbacks() {
-  membership::Transport::Callbacks callbacks;
-  callbacks.payload_for = [this](const std::string& member, std::size_t max_bytes) {
-    return fleet_state_.payload_for(member, max_bytes);
-  };
-  callbacks.on_payload = [this](const std::string& member, std::string_view payload) {
-    fleet_state_.on_payload(now(), member, payload);
-    controls_.on_allowed_retries_changed();
-  };
-  callbacks.on_change = [this](const membership::MemberChange& change) {
-    on_member_change(change);
-  };
-  return callbacks;
-}
-
-// --- Membership
-
-void FleetAgent::Impl::on_member_change(const membership::MemberChange& change) {
-  view_is_stale_ = true;
-  if (change.kind == membership::MemberChangeKind::forgotten) {
-    return;
-  }
-  const bool joined = change.kind == membership::MemberChangeKind::joined;
-  log_event({{"ev", "member"},
-             {"name", change.name},
-             {"from", joined ? "unknown" : std::string(to_string(change.from))},
-             {"to", std::string(to_string(change.to))}});
-}
-
-// Updates the shared state's view of the fleet. `is_bootstrapped` is false if this process is
-// superseded, or if the fleet should have several members and no other member is known.
-void FleetAgent::Impl::update_view() {
-  view_is_stale_ = false;
-  const membership::Membership& membership = transport_.membership();
-  const bool has_joined_fleet =
-      membership.known_count() > 1 || config_.fleet_state.min_members <= 1;
-  view_.alive_count = membership.alive_count();
-  view_.known_count = membership.known_count();
-  view_.is_bootstrapped = !membership.is_superseded() && has_joined_fleet;
-  view_.alive_members = {config_.membership.name};
-  for (const auto& [name, member] : membership.peers()) {
-    if (is_alive_or_suspect(member.state)) {
-      view_.alive_members.insert(name);
+  Impl(asio::io_context& io, Config config, StartMode mode, GatewayControls controls)
+      : io_(io), config_(std::move(config)), controls_(std::move(controls)), timer_(io) {
+    if (auto socket = bind_if_free(io_, config_.listen)) {
+      start_member(std::move(*socket), {});
+      return;
     }
+    if (mode == StartMode::alone) {
+      throw boost::system::system_error(asio::error::address_in_use, "bind");
+    }
+    start_successor();
+    wait_for_address();
   }
-}
 
-void FleetAgent::Impl::leave() {
-  timer_.cancel();
-  log_event({{"ev", "leave"}});
-  transport_.leave();
-}
-
-// --- Ticks
+  // The part of this process in the fleet. While it takes over from another process, the successor
+  // admits until the member does.
+  FleetMember& active() { return successor_ ? *successor_ : *member_; }
+  const FleetMember& active() const { return successor_ ? *successor_ : *member_; }
 
-void FleetAgent::Impl::tick() {
-  if (view_is_stale_) {
-    update_view();
-  }
-  fleet_state_.on_tick(now(), view_);
-  apply_ejections();
-  send_updates();
-  controls_.on_allowed_retries_changed();
-  log_usage();
-  timer_.expires_after(kTickInterval);
-  timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      tick();
+  void on_hosts(const std::vector<std::string>& uids) {
+    hosts_ = uids;
+    if (successor_) {
+      successor_->on_hosts(uids);
     }
-  });
-}
-
-// Sends the payloads that cannot wait for a protocol message to carry them.
-void FleetAgent::Impl::send_updates() {
-  if (fleet_state_.has_urgent_update() && now() - urgent_update_sent_at_ >= kUrgentUpdateInterval) {
-    urgent_update_sent_at_ = now();
-    transport_.broadcast_payload(kUrgentUpdateRecipients);
-  }
-  for (const std::string& member : fleet_state_.pending_transfers()) {
-    transport_.send_payload_to(member);
-  }
-}
-
-// Passes the hosts that were ejected or returned since the latest call to the gateway.
-void FleetAgent::Impl::apply_ejections() {
-  if (fleet_state_.ejected_hosts() == ejected_hosts_) {
-    return;
-  }
-  const std::set<std::string> previously_ejected =
-      std::exchange(ejected_hosts_, fleet_state_.ejected_hosts());
-  for (const std::string& host : previously_ejected) {
-    if (!ejected_hosts_.contains(host)) {
-      set_ejected(host, false);
+    if (member_) {
+      member_->on_hosts(uids);
     }
   }
-  for (const std::string& host : ejected_hosts_) {
-    if (!previously_ejected.contains(host)) {
-      set_ejected(host, true);
+  void leave() {
+    timer_.cancel();
+    if (successor_) {
+      successor_->leave();
     }
-  }
-}
-
-void FleetAgent::Impl::set_ejected(const std::string& host, bool ejected) {
-  controls_.set_host_ejected(host, ejected);
-  controls_.log(
-      "fleet: host " + host +
-      (ejected ? " ejected: a quorum of members reports it unhealthy" : " no longer ejected"));
-  ordered_json observers = ordered_json::array();
-  for (const auto& [key, report] : fleet_state_.outlier_consensus().reports()) {
-    if (key.host == host && report.status == fleet_state::HealthStatus::unhealthy) {
-      observers.push_back(key.observer);
+    if (member_) {
+      member_->leave();
     }
   }
-  log_event({{"ev", ejected ? "host_out" : "host_back"},
-             {"host", host},
-             {"bad_by", observers},
-             {"cap", fleet_state_.outlier_consensus().max_ejected()},
-             {"alive", view_.alive_count},
-             {"known", view_.known_count}});
-}
-
-// --- Log
-
-// Logs the start of this process with the settings of its retry budget and rate limits.
-void FleetAgent::Impl::log_start() {
-  constexpr double kNoRetryBudget = -1;
-  const fleet_state::FleetStateConfig& shared = config_.fleet_state;
-  log_event({{"ev", "start"},
-             {"name", config_.membership.name},
-             {"life", incarnation_id_},
-             {"fleet", config_.fleet_name},
-             {"members", shared.min_members},
-             {"slot_ms", shared.slot_duration / std::chrono::milliseconds(1)},
-             {"retry_share", shared.retry_ratio.value_or(kNoRetryBudget)},
-             {"retry_slots", shared.retry_token_lifetime_slots},
-             {"limit_slots", shared.limit_token_lifetime_slots}});
-}
 
-// Logs the requests, retries and rejections since the latest such line, if there were any, and once
-// a second also the gauges. The laboratory's fleet check adds up the lines of all members.
-void FleetAgent::Impl::log_usage() {
-  const FleetState::Counters& current = fleet_state_.counters();
-  const FleetState::Counters& logged = logged_counters_;
-  ++ticks_;
-  const bool with_gauges = ticks_ % kTicksPerGaugeLine == 0;
-  const bool changed = current.requests != logged.requests || current.retries != logged.retries ||
-                       current.rejected != logged.rejected;
-  if (!log_.enabled() || (!with_gauges && !changed)) {
-    return;
-  }
-  ordered_json line{{"ev", "used"},
-                    {"requests", current.requests - logged.requests},
-                    {"retries", current.retries - logged.retries},
-                    {"refused", current.rejected - logged.rejected}};
-  if (!current.admitted.empty()) {
-    ordered_json admitted = ordered_json::object();
-    for (std::size_t i = 0; i < current.admitted.size(); ++i) {
-      admitted[config_.fleet_state.limits[i].name] = current.admitted[i] - logged.admitted[i];
+ private:
+  void start_member(udp::socket socket, const std::vector<membership::Address>& known_peers) {
+    Config config = config_;
+    config.seeds.insert(config.seeds.end(), known_peers.begin(), known_peers.end());
+    member_.emplace(std::move(socket), std::move(config), MemberRole::member,
+                    controls_for(MemberRole::member));
+    member_->on_hosts(hosts_);
+  }
+
+  // Joins through the process that holds the address as well: the fleet may have no other member.
+  void start_successor() {
+    udp::socket socket(io_, udp::endpoint(config_.listen.address(), 0));
+    Config config = config_;
+    config.seeds.push_back(config_.membership.address);
+    config.membership.name = successor_name_of(config_.membership.name);
+    config.membership.address.port = socket.local_endpoint().port();
+    successor_.emplace(std::move(socket), std::move(config), MemberRole::successor,
+                       controls_for(MemberRole::successor));
+    controls_.log("fleet: another process holds " +
+                  membership::to_string(config_.membership.address) + "; taking part as " +
+                  successor_name_of(config_.membership.name) + " until it ends");
+  }
+
+  GatewayControls controls_for(MemberRole role) {
+    GatewayControls controls = controls_;
+    controls.set_host_ejected = [this, role](const std::string& uid, bool ejected) {
+      const bool is_active = successor_.has_value() == (role == MemberRole::successor);
+      if (is_active) {
+        controls_.set_host_ejected(uid, ejected);
+      }
+    };
+    return controls;
+  }
+
+  void wait_for_address() {
+    timer_.expires_after(kTakeoverInterval);
+    timer_.async_wait([this](error_code ec) {
+      if (!ec) {
+        take_over();
+      }
+    });
+  }
+
+  void take_over() {
+    if (!member_) {
+      if (auto socket = bind_if_free(io_, config_.listen)) {
+        start_member(std::move(*socket), successor_->alive_peers());
+      }
     }
-    line["admitted"] = std::move(admitted);
-  }
-  logged_counters_ = current;
-  if (with_gauges) {
-    add_gauges(line);
-  }
-  log_event(line);
-}
-
-void FleetAgent::Impl::add_gauges(ordered_json& line) const {
-  const FleetState::Counters& counters = fleet_state_.counters();
-  const membership::Transport::Counters& datagrams = transport_.counters();
-  line.update({{"alive", view_.alive_count},
-               {"known", view_.known_count},
-               {"rights", to_tokens(fleet_state_.retry_tokens().held())},
-               {"overdrawn", counters.retries_overdrawn},
-               {"bad_payloads", counters.bad_payloads},
-               {"sent_bytes", datagrams.sent_bytes},
-               {"sent", datagrams.sent},
-               {"received", datagrams.received},
-               {"dropped", datagrams.malformed + datagrams.other_fleet + datagrams.other_format},
-               {"fleet_requests", fleet_state_.fleet_counter().total(FleetState::kRequests)},
-               {"health", transport_.membership().local_health_score()}});
-}
-
-// --- GET /fleet
-
-ordered_json FleetAgent::Impl::members_json() const {
-  ordered_json members = ordered_json::object();
-  for (const auto& [name, member] : transport_.membership().peers()) {
-    members[name] = {{"state", std::string(to_string(member.state))},
-                     {"address", to_string(member.address)}};
+    if (!member_ || !member_->is_settled()) {
+      return wait_for_address();
+    }
+    end_succession();
   }
-  return members;
-}
 
-ordered_json FleetAgent::Impl::limits_json() const {
-  const FleetState::Counters& counters = fleet_state_.counters();
-  ordered_json limits = ordered_json::object();
-  for (std::size_t i = 0; i < counters.admitted.size(); ++i) {
-    limits[config_.fleet_state.limits[i].name] = {
-        {"admitted", counters.admitted[i]},
-        {"fleet_admitted", fleet_state_.fleet_counter().total(FleetState::kFirstLimit + i)},
-        {"rights", to_tokens(fleet_state_.limit_tokens()[i].held())}};
+  void end_succession() {
+    successor_->leave();
+    const std::set<std::string> ejected = successor_->ejected_hosts();
+    successor_.reset();
+    for (const std::string& uid : ejected) {
+      if (!member_->ejected_hosts().contains(uid)) {
+        controls_.set_host_ejected(uid, false);
+      }
+    }
+    for (const std::string& uid : member_->ejected_hosts()) {
+      if (!ejected.contains(uid)) {
+        controls_.set_host_ejected(uid, true);
+      }
+    }
+    controls_.on_allowed_retries_changed();
+    controls_.log("fleet: " + config_.membership.name + " has taken over " +
+                  membership::to_string(config_.membership.address));
   }
-  return limits;
-}
 
-ordered_json FleetAgent::Impl::health_reports_json() const {
-  ordered_json reports = ordered_json::object();
-  for (const auto& [key, report] : fleet_state_.outlier_consensus().reports()) {
-    reports[key.host][key.observer] = {{"verdict", std::string(to_string(report.status))},
-                                       {"good", report.successes},
-                                       {"failed", report.failures},
-                                       {"at_ms", report.created_at_ms}};
-  }
-  return reports;
-}
-
-ordered_json FleetAgent::Impl::datagrams_json() const {
-  const membership::Transport::Counters& datagrams = transport_.counters();
-  return {{"sent", datagrams.sent},
-          {"sent_bytes", datagrams.sent_bytes},
-          {"received", datagrams.received},
-          {"malformed", datagrams.malformed},
-          {"other_fleet", datagrams.other_fleet},
-          {"other_format", datagrams.other_format},
-          {"not_its_address", datagrams.sender_mismatches},
-          {"bad_payloads", fleet_state_.counters().bad_payloads},
-          {"other_plan", fleet_state_.counters().other_config}};
-}
-
-std::string FleetAgent::Impl::status_json() const {
-  const membership::Membership& membership = transport_.membership();
-  const FleetState::Counters& counters = fleet_state_.counters();
-  const fleet_state::GrowOnlyCounter& fleet_counter = fleet_state_.fleet_counter();
-  const ordered_json status{{"fleet", config_.fleet_name},
-                            {"name", config_.membership.name},
-                            {"settled", fleet_state_.is_bootstrapped()},
-                            {"superseded", membership.is_superseded()},
-                            {"alive", membership.alive_count()},
-                            {"known", membership.known_count()},
-                            {"health", membership.local_health_score()},
-                            {"requests",
-                             {{"taken", counters.requests},
-                              {"refused", counters.rejected},
-                              {"fleet_taken", fleet_counter.total(FleetState::kRequests)}}},
-                            {"retries",
-                             {{"sent", counters.retries},
-                              {"overdrawn", counters.retries_overdrawn},
-                              {"rights", to_tokens(fleet_state_.retry_tokens().held())},
-                              {"fleet_sent", fleet_counter.total(FleetState::kRetries)}}},
-                            {"limits", limits_json()},
-                            {"hosts_out", fleet_state_.ejected_hosts()},
-                            {"hosts_judged", health_reports_json()},
-                            {"datagrams", datagrams_json()},
-                            {"members", members_json()}};
-  return status.dump();
-}
-
-// --- FleetAgent
+  asio::io_context& io_;
+  Config config_;
+  GatewayControls controls_;
+  std::vector<std::string> hosts_;
+  std::optional<FleetMember> member_;
+  std::optional<FleetMember> successor_;
+  asio::steady_timer timer_;
+};
 
-FleetAgent::FleetAgent(boost::asio::io_context& io, Config config, GatewayControls controls)
-    : impl_(std::make_unique<Impl>(io, std::move(config), std::move(controls))) {}
+FleetAgent::FleetAgent(asio::io_context& io, Config config, StartMode mode,
+                       GatewayControls controls)
+    : impl_(std::make_unique<Impl>(io, std::move(config), mode, std::move(controls))) {}
 
 FleetAgent::~FleetAgent() = default;
 
 bool FleetAgent::try_admit(std::string_view request_class, std::string_view tenant) {
-  return impl_->fleet_state().try_admit(impl_->now(), request_class, tenant);
+  return impl_->active().try_admit(request_class, tenant);
 }
 
 void FleetAgent::on_retry_sent() {
-  impl_->fleet_state().on_retry_sent(impl_->now());
+  impl_->active().on_retry_sent();
 }
 
 std::uint64_t FleetAgent::allowed_retries() const {
-  const unsigned retries = impl_->fleet_state().allowed_retries();
-  return retries == FleetState::kUnlimited ? UINT64_MAX : retries;
+  return impl_->active().allowed_retries();
 }
 
 void FleetAgent::on_attempt_result(const std::string& uid, bool success) {
-  impl_->fleet_state().on_attempt_result(impl_->now(), uid, success);
+  impl_->active().on_attempt_result(uid, success);
 }
 
 void FleetAgent::on_hosts(std::vector<std::string> uids) {
-  impl_->fleet_state().on_hosts(std::move(uids));
+  impl_->on_hosts(uids);
 }
 
 std::string FleetAgent::status_json() const {
-  return impl_->status_json();
+  return impl_->active().status_json();
 }
 
 void FleetAgent::leave() {
--- a/src/fleet_agent/fleet_agent.hpp
+++ b/src/fleet_agent/fleet_agent.hpp
@@ -1,6 +1,5 @@
-// Runs the membership protocol and the shared state of the fleet on the gateway's event loop,
-// connects them to the gateway and logs their events. It makes no decisions: those are made in
-// src/membership, src/fleet_state and the balancer. Must be used from the event loop's thread only.
+// A gateway's part in its fleet, also while a process of a new version takes over from the old one.
+// Must be used from the event loop's thread only.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -24,12 +23,17 @@
   std::function<void(std::string)> log;
 };
 
+// Whether another process of the same gateway may run when the agent starts, and hold its address.
+enum class StartMode { alone, beside_another_process };
+
 // A gateway's membership in its fleet. `io` must outlive it.
 class FleetAgent {
  public:
-  // Binds the UDP socket and joins the fleet. Throws boost::system::system_error if the address
-  // cannot be bound and OperatorFileError if the event log cannot be opened.
-  FleetAgent(boost::asio::io_context& io, Config config, GatewayControls controls);
+  // Binds the UDP socket and joins the fleet. While another process of this gateway holds the
+  // address, the agent takes part at another port and under another name, and takes over as soon as
+  // the address is free. Throws boost::system::system_error if the address cannot be bound and
+  // OperatorFileError if the event log cannot be opened.
+  FleetAgent(boost::asio::io_context& io, Config config, StartMode mode, GatewayControls controls);
   ~FleetAgent();
   FleetAgent(const FleetAgent&) = delete;
   FleetAgent& operator=(const FleetAgent&) = delete;
--- a/src/fleet_agent/operator_file.cpp
+++ b/src/fleet_agent/operator_file.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fleet_agent/config_section.hpp"
+#include "fleet_agent/fleet_member.hpp"
 #include "membership/codec.hpp"
 
 namespace gateway::fleet_agent {
@@ -34,6 +35,9 @@
     section.fail("name", "is empty or too long; expected 1 to " +
                              std::to_string(membership::kMaxNameBytes) + " bytes");
   }
+  if (is_successor_name(config.membership.name)) {
+    section.fail("name", "ends like the name of a successor; expected another end");
+  }
 }
 
 void read_addresses(ConfigSection& section, Config& config) {
--- a/src/fleet_state/fleet_state.cpp
+++ b/src/fleet_state/fleet_state.cpp
@@ -56,23 +56,42 @@
   for (std::size_t i = 0; i < budget_count(); ++i) {
     budget(i).advance(slot);
   }
-  if (slot >= first_issue_slot_ && is_bootstrapped_) {
+  if (issues_limit_tokens()) {
     issue_limit_tokens();
+  } else if (is_bootstrapped_ && !view_.issues_limit_tokens) {
+    request_limit_tokens();
   }
 }
 
-// In each slot every member issues itself an equal fraction of every limit. Unreachable members are
-// included in the divisor, because each may still run and spend its own fraction.
+bool FleetState::issues_limit_tokens() const {
+  return view_.issues_limit_tokens && is_bootstrapped_ && slot_ >= first_issue_slot_;
+}
+
+// In each slot every issuing member issues itself an equal fraction of every limit.
 void FleetState::issue_limit_tokens() {
-  const auto members = static_cast<double>(std::max(view_.known_count, config_.min_members));
-  const double seconds = std::chrono::duration<double>(config_.slot_duration).count();
   for (std::size_t i = 0; i < limit_tokens_.size(); ++i) {
-    const double per_second = config_.limits[i].requests_per_second;
-    limit_tokens_[i].issue(
-        floor_to_amount(per_second * seconds * static_cast<double>(kOneToken) / members));
+    limit_tokens_[i].issue(share_of_limit(i));
+  }
+}
+
+// A member that issues no tokens expects half of the requests of the one that it succeeds. Asked
+// for only when a request has come, the tokens would be late for that request.
+void FleetState::request_limit_tokens() {
+  for (std::size_t i = 0; i < limit_tokens_.size(); ++i) {
+    limit_tokens_[i].record_demand(share_of_limit(i) / 2);
   }
 }
 
+// What one issuing member issues in a slot. Unreachable members are included in the divisor,
+// because each may still run and spend its own fraction.
+Amount FleetState::share_of_limit(std::size_t limit) const {
+  const std::size_t issuing_count = view_.known_count - view_.non_issuing_count;
+  const auto members = static_cast<double>(std::max(issuing_count, config_.min_members));
+  const double seconds = std::chrono::duration<double>(config_.slot_duration).count();
+  const double per_second = config_.limits[limit].requests_per_second;
+  return floor_to_amount(per_second * seconds * static_cast<double>(kOneToken) / members);
+}
+
 bool FleetState::try_admit(Time now, std::string_view request_class, std::string_view tenant) {
   advance_slot(now);
   std::vector<std::size_t> applicable;
--- a/src/fleet_state/fleet_state.hpp
+++ b/src/fleet_state/fleet_state.hpp
@@ -80,6 +80,8 @@
   const TokenEscrow& retry_tokens() const { return retry_tokens_; }
   const std::vector<TokenEscrow>& limit_tokens() const { return limit_tokens_; }
   bool is_bootstrapped() const { return is_bootstrapped_; }
+  // Whether this member issues itself its share of the limits in the current slot.
+  bool issues_limit_tokens() const;
 
  private:
   // The dissemination of a counter row since its last change. This member's own row counts as
@@ -96,6 +98,8 @@
   bool has_retry_budget() const { return config_.retry_ratio.has_value(); }
   void advance_slot(Time now);
   void issue_limit_tokens();
+  void request_limit_tokens();
+  Amount share_of_limit(std::size_t limit) const;
   bool has_precedence(std::string_view peer) const;
   void disseminate_own_row(Time now);
   void forget_finished_rows(Time now);
--- a/src/fleet_state/outlier_consensus.hpp
+++ b/src/fleet_state/outlier_consensus.hpp
@@ -52,6 +52,8 @@
   // This member knows another member, or the fleet may consist of this member alone.
   bool is_bootstrapped = false;
   std::set<std::string, std::less<>> alive_members;  // by name
+  std::size_t non_issuing_count = 0;  // of known_count, the members that issue no tokens of limits
+  bool issues_limit_tokens = true;    // this member does
 };
 
 // This gateway's reports, the accepted reports of others, and the hosts that follow as ejected.
--- a/src/fleet_state/token_escrow.hpp
+++ b/src/fleet_state/token_escrow.hpp
@@ -52,8 +52,8 @@
   // Spends one token, the oldest first. False if less than one token is held. Either result counts
   // as demand for one token.
   bool spend();
-  // Counts as demand an operation that was not performed for lack of a token.
-  void record_demand() { demand_by_slot_[now_] += kOneToken; }
+  // Counts as demand an operation that was not performed for lack of a token, or that is expected.
+  void record_demand(Amount amount = kOneToken) { demand_by_slot_[now_] += amount; }
 
   Amount held() const { return held_; }
   // Of the tokens held, those that do not expire at the end of the current slot.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -74,6 +74,8 @@
   }
   /// Sets whether another process of the same gateway runs: the two then share the limits of one.
   void set_has_sibling(bool has_sibling);
+  /// Another process of the same gateway runs, or may run, as the listening socket was passed.
+  bool may_have_sibling() const { return role_ == ProcessRole::one_of_two || socket_is_shared_; }
   /// Begins or ends the maintenance of a host by an operator. `uid` is the host's id in discovery.
   void set_maintenance(const std::string& uid, bool enabled);
   using FleetHooks = gateway::FleetHooks;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -73,7 +73,9 @@
 void join_fleet(boost::asio::io_context& io, gateway::Gateway& gateway,
                 std::optional<gateway::fleet_agent::FleetAgent>& agent,
                 gateway::fleet_agent::Config config, gateway::event_log::EventLog& log) {
+  using gateway::fleet_agent::StartMode;
   agent.emplace(io, std::move(config),
+                gateway.may_have_sibling() ? StartMode::beside_another_process : StartMode::alone,
                 gateway::fleet_agent::GatewayControls{[&](const std::string& uid, bool ejected) {
                                                         gateway.set_maintenance_by_fleet(uid,
                                                                                          ejected);
--- a/src/membership/transport.cpp
+++ b/src/membership/transport.cpp
@@ -18,11 +18,10 @@
 
 }  // namespace
 
-Transport::Transport(asio::io_context& io, const udp::endpoint& listen, std::uint64_t fleet,
-                     Settings settings, std::uint64_t boot_id, std::uint64_t seed,
-                     Callbacks callbacks)
-    : socket_(io, listen),
-      timer_(io),
+Transport::Transport(udp::socket socket, std::uint64_t fleet, Settings settings,
+                     std::uint64_t boot_id, std::uint64_t seed, Callbacks callbacks)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
       fleet_(fleet),
       membership_(std::move(settings), boot_id, seed, now()),
       callbacks_(std::move(callbacks)) {
@@ -54,18 +53,19 @@
 }
 
 void Transport::receive_next() {
-  socket_.async_receive_from(asio::buffer(receive_buffer_), sender_,
-                             [this](error_code ec, std::size_t bytes) {
-                               if (ec == asio::error::operation_aborted) {
-                                 return;
-                               }
-                               // Any other error means that a datagram sent earlier reached a
-                               // closed port; receiving goes on.
-                               if (!ec) {
-                                 on_datagram({receive_buffer_.data(), bytes});
-                               }
-                               receive_next();
-                             });
+  socket_.async_receive_from(
+      asio::buffer(receive_buffer_), sender_,
+      [this, alive = std::weak_ptr(lifetime_)](error_code ec, std::size_t bytes) {
+        if (alive.expired() || ec == asio::error::operation_aborted) {
+          return;
+        }
+        // Any other error means that a datagram sent earlier reached a
+        // closed port; receiving goes on.
+        if (!ec) {
+          on_datagram({receive_buffer_.data(), bytes});
+        }
+        receive_next();
+      });
 }
 
 void Transport::on_datagram(std::string_view datagram) {
@@ -152,8 +152,8 @@
   }
   timer_.expires_at(std::chrono::steady_clock::time_point(
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(scheduled_at_)));
-  timer_.async_wait([this](error_code ec) {
-    if (ec) {
+  timer_.async_wait([this, alive = std::weak_ptr(lifetime_)](error_code ec) {
+    if (ec || alive.expired()) {
       return;
     }
     scheduled_at_ = Time::max();
--- a/src/membership/transport.hpp
+++ b/src/membership/transport.hpp
@@ -6,11 +6,12 @@
 #pragma once
 
 #include <array>
-#include <boost/asio/io_context.hpp>
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,11 +45,9 @@
     std::uint64_t sender_mismatches = 0;
   };
 
-  // Binds the socket and starts to receive; throws boost::system::system_error if that fails.
-  // `fleet`: see fleet_id().
-  Transport(boost::asio::io_context& io, const boost::asio::ip::udp::endpoint& listen,
-            std::uint64_t fleet, Settings settings, std::uint64_t boot_id, std::uint64_t seed,
-            Callbacks callbacks);
+  // Starts to receive on `socket`, which must be bound. `fleet`: see fleet_id().
+  Transport(boost::asio::ip::udp::socket socket, std::uint64_t fleet, Settings settings,
+            std::uint64_t boot_id, std::uint64_t seed, Callbacks callbacks);
 
   // These do what the functions of the same name in Membership do, and send the resulting messages.
   void join(std::vector<Address> seeds);
@@ -56,6 +55,7 @@
   void send_payload_to(const std::string& member);
   void leave();
 
+  boost::asio::any_io_executor executor() { return socket_.get_executor(); }
   const Membership& membership() const { return membership_; }
   const Counters& counters() const { return counters_; }
 
@@ -69,6 +69,8 @@
   void send_datagram(Membership::OutgoingMessage outgoing);
   void schedule_timer();
 
+  // Expires with this object: a handler that is queued by then has no error and must not run.
+  std::shared_ptr<const bool> lifetime_ = std::make_shared<const bool>(true);
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
   std::uint64_t fleet_;
--- a/tests/gateway/program_test.cpp
+++ b/tests/gateway/program_test.cpp
@@ -5,10 +5,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <thread>
 
 #include "discovery/endpoint_list.hpp"
@@ -19,11 +21,12 @@
 
 std::string program;  // path, set by main
 
-// Starts the program with one environment variable, NAME=VALUE, beside TMPDIR. `socket` is passed
-// as descriptor 3 in GW_PASSED_SOCKET; -1: none.
-pid_t start_program(const std::string& variable, int socket = -1) {
+// Starts the program with these environment variables, NAME=VALUE, beside TMPDIR. `socket` is
+// passed as descriptor 3 in GW_PASSED_SOCKET; -1: none.
+pid_t start_program(const std::vector<std::string>& variables, int socket = -1) {
   std::vector<char*> argv{program.data(), nullptr};
-  std::vector<std::string> copies{variable, "TMPDIR=" + ::testing::TempDir()};
+  std::vector<std::string> copies = variables;
+  copies.push_back("TMPDIR=" + ::testing::TempDir());
   if (socket >= 0) {
     copies.emplace_back("GW_PASSED_SOCKET=3");
   }
@@ -51,11 +54,11 @@
 }
 
 TEST(Program, ExitsOnInvalidConfiguration) {
-  EXPECT_EQ(exit_code(start_program("GW_CONFIG=/nonexistent")), 2);
+  EXPECT_EQ(exit_code(start_program({"GW_CONFIG=/nonexistent"})), 2);
 }
 
 TEST(Program, ExitsOnInvalidLogSetting) {
-  EXPECT_EQ(exit_code(start_program("GW_LOG_LINES_PER_SECOND=many")), 2);
+  EXPECT_EQ(exit_code(start_program({"GW_LOG_LINES_PER_SECOND=many"})), 2);
 }
 
 // Writes a configuration file of this test process and returns its path.
@@ -69,7 +72,7 @@
   const std::string path = write_config(config_json(), "no_listener");
   asio::io_context io;
   tcp::acceptor socket(io, tcp::v4());  // neither bound nor listening
-  EXPECT_EQ(exit_code(start_program("GW_CONFIG=" + path, socket.native_handle())), 1);
+  EXPECT_EQ(exit_code(start_program({"GW_CONFIG=" + path}, socket.native_handle())), 1);
   std::remove(path.c_str());
 }
 
@@ -94,7 +97,7 @@
     config["known"] = {{"rev", 1}, {"all", true}, {"targets", {target("s-0", loopback(1))}}};
     adjust_config();
     write(config.dump());
-    pid = start_program("GW_CONFIG=" + path);
+    pid = start_program({"GW_CONFIG=" + path});
     EXPECT_EQ(up_status(), 200u);
   }
   void TearDown() override {
@@ -174,7 +177,7 @@
   config["name"] = "early";
   config["discovery"] = text_of(discovery.local_endpoint());
   const std::string path = write_config(config, "early");
-  const pid_t pid = start_program("GW_CONFIG=" + path);
+  const pid_t pid = start_program({"GW_CONFIG=" + path});
   discovery.accept();  // the program polls and gets no response
   config["discovery"] = text_of(moved.local_endpoint());
   std::ofstream(path) << config.dump();
@@ -286,6 +289,7 @@
   tcp::acceptor listening_socket{io, loopback()};
   json config = config_json();
   std::vector<std::string> config_paths;
+  std::vector<std::string> environment;  // further variables of the processes
 
   void SetUp() override {
     // Each test has its own state folder.
@@ -311,8 +315,9 @@
     }
     config["admin_addr"] = process.admin;
     config_paths.push_back(write_config(config, name));
-    process.id =
-        start_program("GW_CONFIG=" + config_paths.back(), listening_socket.native_handle());
+    std::vector<std::string> variables = environment;
+    variables.push_back("GW_CONFIG=" + config_paths.back());
+    process.id = start_program(variables, listening_socket.native_handle());
     EXPECT_TRUE(status_becomes(process.admin, "GET /healthcheck", 200));
     return process;
   }
@@ -320,22 +325,27 @@
     kill(process.id, SIGTERM);
     EXPECT_EQ(exit_code(process.id), 0);
   }
+  // Nothing if the address does not respond.
+  std::optional<Response> response_of(const std::string& address, const std::string& request_line) {
+    tcp::socket socket(io);
+    error_code ec;
+    socket.connect(discovery::parse_endpoint(address), ec);
+    if (ec) {
+      return std::nullopt;
+    }
+    asio::write(socket, asio::buffer(request_line + " HTTP/1.1\r\n\r\n"), ec);
+    boost::beast::flat_buffer buffer;
+    Response response;
+    read(socket, buffer, response, ec);
+    return ec ? std::nullopt : std::optional(response);
+  }
   // Repeats a request at an address until its response has this status; false after kWaitTimeout.
   bool status_becomes(const std::string& address, const std::string& request_line,
                       unsigned status) {
     const auto end = std::chrono::steady_clock::now() + kWaitTimeout;
     while (std::chrono::steady_clock::now() < end) {
-      tcp::socket socket(io);
-      error_code ec;
-      socket.connect(discovery::parse_endpoint(address), ec);
-      if (ec) {
-        continue;
-      }
-      asio::write(socket, asio::buffer(request_line + " HTTP/1.1\r\n\r\n"), ec);
-      boost::beast::flat_buffer buffer;
-      Response response;
-      read(socket, buffer, response, ec);
-      if (!ec && response.result_int() == status) {
+      const auto response = response_of(address, request_line);
+      if (response && response->result_int() == status) {
         return true;
       }
     }
@@ -384,6 +394,134 @@
   stop(next);
 }
 
+// Two processes of one gateway that belongs to a fleet, with a limit of requests of which none is
+// admitted by a process that has not joined.
+class FleetUpgrade : public Upgrade {
+ protected:
+  static constexpr int kSlotMs = 200;
+  virtual int requests_per_second() const { return 400; }  // more than a test sends
+
+  Peer host{io, [](PeerConnection& c) {
+              c.reply(response_text(200, "", "done"));
+            }};
+  int serial = 0;
+
+  void SetUp() override {
+    Upgrade::SetUp();
+    set_only_host(host.endpoint);
+    asio::ip::udp::socket free_port(io, {asio::ip::address_v4::loopback(), 0});
+    json limit;
+    limit["name"] = "all";
+    limit["per_s"] = requests_per_second();
+    json fleet;
+    fleet["fleet"] = name();
+    fleet["listen"] = "127.0.0.1:" + std::to_string(free_port.local_endpoint().port());
+    fleet["slot_ms"] = kSlotMs;
+    fleet["retries"]["share"] = 0.1;
+    fleet["limits"] = json::array({limit});
+    free_port.close();
+    config_paths.push_back(write_config(fleet, "fleet" + name()));
+    environment = {"GW_FLEET=" + config_paths.back(), "GW_NAME=" + name()};
+  }
+  json fleet_at(const Process& process) {
+    const auto response = response_of(process.admin, "GET /fleet");
+    return response ? json::parse(response->body()) : json::object();
+  }
+  // Waits until a process takes part under a name that ends like this, and has tokens.
+  ::testing::AssertionResult takes_part_as(const Process& process, const std::string& name_end) {
+    return run_until(io, [&] {
+      const json status = fleet_at(process);
+      return status.value("name", "").ends_with(name_end) && status["settled"] == true &&
+             status["limits"]["all"]["rights"] >= 2;
+    });
+  }
+  // Sends requests one after another on new connections and returns how many were not served.
+  int unserved_of(int requests) {
+    int unserved = 0;
+    for (int i = 0; i < requests; ++i) {
+      auto c = Client::connect(io, listening_socket.local_endpoint());
+      c->send("GET /read HTTP/1.1\r\nHost: x\r\nX-Class: read\r\nX-Request-Id: r" +
+              std::to_string(++serial) + "\r\n\r\n");
+      EXPECT_TRUE(run_until(io, [&] { return !c->responses.empty() || c->closed_by_peer; }));
+      unserved += c->responses.empty() || c->responses[0].result_int() != 200 ? 1 : 0;
+    }
+    return unserved;
+  }
+  std::string name() const { return config["name"]; }
+};
+
+// Guards against a new version that exits because the old process holds the fleet's address, and
+// against one that admits nothing of a limit until it has that address.
+TEST_F(FleetUpgrade, NewProcessTakesPartAndTakesOverWhenOldOneStops) {
+  const Process old = start("old");
+  ASSERT_TRUE(takes_part_as(old, name()));
+  EXPECT_EQ(unserved_of(20), 0);
+  const Process next = start("new");
+  ASSERT_TRUE(takes_part_as(next, "+next"));
+  EXPECT_EQ(unserved_of(60), 0) << "by either process";
+  stop(old);
+  EXPECT_EQ(unserved_of(20), 0);
+  ASSERT_TRUE(takes_part_as(next, name()));
+  EXPECT_EQ(unserved_of(20), 0);
+  stop(next);
+}
+
+// The same for an old process that is killed, and for the process after the next one.
+TEST_F(FleetUpgrade, NewProcessesTakeOverOneAfterAnother) {
+  Process old = start("old");
+  for (int i = 0; i < 2; ++i) {
+    const Process next = start("new" + std::to_string(i));
+    ASSERT_TRUE(takes_part_as(next, "+next"));
+    kill(old.id, SIGKILL);
+    EXPECT_EQ(exit_code(old.id), -1);
+    ASSERT_TRUE(takes_part_as(next, name()));
+    EXPECT_EQ(unserved_of(20), 0);
+    old = next;
+  }
+  stop(old);
+}
+
+class FleetUpgradeAtLimit : public FleetUpgrade {
+ protected:
+  int requests_per_second() const override { return 40; }  // a third of what a test sends
+};
+
+// Both processes together admit what the limit allows, no more and little less.
+TEST_F(FleetUpgradeAtLimit, BothProcessesShareTheLimit) {
+  constexpr double kTokenLifetimeSeconds = 3 * kSlotMs / 1000.0;
+  constexpr double kEdgeSeconds = 2 * kSlotMs / 1000.0;
+  const Process old = start("old");
+  const Process next = start("new");
+  ASSERT_TRUE(takes_part_as(next, "+next"));
+  const auto started_at = std::chrono::steady_clock::now();
+  constexpr int kRequests = 600;
+  const int served = kRequests - unserved_of(kRequests);
+  const std::chrono::duration<double> time = std::chrono::steady_clock::now() - started_at;
+  const double rate = requests_per_second();
+  EXPECT_LE(served, rate * (time.count() + kTokenLifetimeSeconds + kEdgeSeconds));
+  EXPECT_GE(served, std::min(rate * (time.count() - kEdgeSeconds) / 2, kRequests / 2.0));
+  stop(old);
+  stop(next);
+}
+
+// An address that something else holds is a mistake of the operator, not an upgrade.
+TEST(Program, ExitsIfFleetAddressIsHeldBySomethingElse) {
+  asio::io_context io;
+  asio::ip::udp::socket holder(io, {asio::ip::address_v4::loopback(), 0});
+  json fleet;
+  fleet["fleet"] = "held";
+  fleet["listen"] = "127.0.0.1:" + std::to_string(holder.local_endpoint().port());
+  fleet["retries"]["share"] = 0.1;
+  const std::string fleet_path = write_config(fleet, "held_fleet");
+  json config = config_json();
+  config["name"] = "held" + std::to_string(getpid());
+  const std::string path = write_config(config, "held");
+  EXPECT_EQ(
+      exit_code(start_program({"GW_CONFIG=" + path, "GW_FLEET=" + fleet_path, "GW_NAME=held"})), 1);
+  std::remove(path.c_str());
+  std::remove(fleet_path.c_str());
+}
+
 }  // namespace
 }  // namespace gateway::testing
 
