Uploads: one that is paused for memory gets its final answer in time

Cause: reject_if_overdue asked whether memory was short at that moment, which others change all the time, and the last byte was dated by its arrival at a socket that had had no room for it.

Change: an upload that was paused since the last moment at which all its client had sent was read is rejected 0.3 s after its time counted from there, and its last byte is dated 0.3 s later at most. A socket that had no room does not count as read by being emptied; one with room has all that was sent.

--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "runtime/arrival_time.hpp"
+#include "runtime/socket_room.hpp"
 
 namespace gateway::http {
 namespace {
@@ -26,6 +27,9 @@
 constexpr auto kClockTolerance = std::chrono::seconds(1);
 // What the event loop holds for a socket.
 constexpr std::size_t kSocketBytes = 512;
+// The time of a request whose end may have been sent at any time since some moment starts this long
+// after that moment at the latest. Its response may be late by as much.
+constexpr auto kLatestStart = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -201,6 +205,7 @@
     return;
   }
   if (state_ == SessionState::receiving_body && request_stream_->full()) {
+    was_paused_ = true;
     return;
   }
   error_code ec;
@@ -235,8 +240,11 @@
 
 // Reads into the registry's buffer and dates what was read. Nothing of it arrived before the last
 // complete read: an age that reaches back much further is that of a wall clock which was stepped.
+// What follows a pause may have waited at the client, as the socket had no room: it may be as old
+// as the last complete read.
 std::size_t ClientSession::read_some(error_code& ec) {
   const auto started_at = Clock::now();
+  const bool has_all = !was_paused_ || runtime::has_receive_room(socket_.native_handle());
   const runtime::ReceivedBytes received =
       runtime::receive_with_age(socket_, asio::buffer(registry_->read_buffer), 0, ec);
   if (ec) {
@@ -246,8 +254,12 @@
   const auto arrived_at = now - received.age;
   const bool is_plausible = arrived_at > input_read_at_ - kClockTolerance;
   input_arrived_at_ = is_plausible ? std::max(arrived_at, input_read_at_) : now;
-  if (received.size < kReadChunk) {
+  if (was_paused_) {
+    input_arrived_at_ = std::min(input_arrived_at_, input_read_at_ + kLatestStart);
+  }
+  if (has_all && received.size < kReadChunk) {
     input_read_at_ = started_at;
+    was_paused_ = false;
   }
   return received.size;
 }
@@ -286,13 +298,37 @@
   }
 }
 
+// Whoever takes bytes out of the stream calls this again.
+void ClientSession::read_on_or_pause() {
+  if (request_stream_->full()) {
+    was_paused_ = true;
+  } else {
+    wait_for_input();
+  }
+}
+
+// What the client has sent and the socket has no room for waits at the client. A socket with room
+// has all of it.
+bool ClientSession::last_byte_may_be_sent() {
+  error_code ec;
+  const std::size_t unread = socket_.available(ec);
+  if (unread == 0 && !ec) {
+    return false;
+  }
+  const auto remaining = parser_->content_length_remaining();
+  return ec || !remaining || unread >= *remaining ||
+         !runtime::has_receive_room(socket_.native_handle());
+}
+
+// While the body is read in parts as memory allows, its last byte may be in the socket, or at the
+// client behind it, at any time after the last complete read.
 void ClientSession::reject_if_overdue(Clock::time_point now) {
-  if (state_ != SessionState::receiving_body || !waits_for_others()) {
+  if (state_ != SessionState::receiving_body) {
     return;
   }
-  if (!has_unread_input()) {
+  if (!last_byte_may_be_sent()) {
     input_read_at_ = now;
-  } else if (now - input_read_at_ >= upload_timeout_) {
+  } else if (was_paused_ && now - input_read_at_ - kLatestStart >= upload_timeout_) {
     reject(NotTakenReason::memory_short, boost::beast::http::status::service_unavailable);
   }
 }
--- a/src/http/client_session.hpp
+++ b/src/http/client_session.hpp
@@ -245,6 +245,8 @@
   void submit_request(std::shared_ptr<BodyStream> body);
   void start_streaming_request();
   void forward_body(const std::string& body);
+  void read_on_or_pause();
+  bool last_byte_may_be_sent();
   void reject(NotTakenReason reason, boost::beast::http::status status);
   bool admits(std::size_t bytes) const { return registry_->memory_budget->admits(bytes); }
   void update_charges();
@@ -278,7 +280,7 @@
   SessionQueue::iterator queue_position_;
   ExchangeId exchange_ = 0;
   Clock::time_point last_progress_at_ = Clock::now();
-  // All that had arrived by then has been read.
+  // All that the client had sent by then has been read, or does not contain the end of its request.
   Clock::time_point input_read_at_;
   Clock::time_point input_arrived_at_;  // of the latest bytes that were read
   Clock::duration upload_timeout_ = Clock::duration::max();
@@ -291,6 +293,7 @@
   bool head_complete_ = false;
   bool waiting_for_turn_ = false;  // in registry_->long_heads
   bool waiting_for_input_ = false;
+  bool was_paused_ = false;  // the body, for memory, since input_read_at_
   bool keep_alive_ = false;
   bool is_first_request_ = false;
   bool head_only_ = false;  // a HEAD request
--- a/src/http/client_session_request.cpp
+++ b/src/http/client_session_request.cpp
@@ -239,11 +239,11 @@
       return;
     }
     self->record_progress();
-    self->wait_for_input();
+    self->read_on_or_pause();
   };
   submit_request(request_stream_);
-  if (state_ == SessionState::receiving_body && !request_stream_->full()) {
-    wait_for_input();
+  if (state_ == SessionState::receiving_body) {
+    read_on_or_pause();
   }
 }
 
@@ -255,7 +255,7 @@
   }
   record_progress();
   if (!parser_->is_done()) {
-    return stream->full() ? void() : wait_for_input();
+    return read_on_or_pause();
   }
   request_stream_.reset();
   if (buffer_.size() == 0) {
--- a/tests/gateway/short_memory_test.cpp
+++ b/tests/gateway/short_memory_test.cpp
@@ -1,4 +1,4 @@
-// Responses while memory is too short to buffer them, on real loopback sockets.
+// Responses and uploads while memory is too short to buffer them, on real loopback sockets.
 #include <string>
 
 #include "support/gateway_fixture.hpp"
@@ -122,5 +122,101 @@
   EXPECT_TRUE(until([&] { return c->has("abcdef"); }));
 }
 
+// Uploads to hosts that read nothing, beside another one that holds half of the memory.
+class PausedUploadTest : public ShortMemoryTest {
+ protected:
+  using Clock = std::chrono::steady_clock;
+
+  static constexpr int kUploadMemoryMb = 4;  // 1 MiB of it is for peers
+  static constexpr std::size_t kOtherBytes = 900'000;
+  static constexpr milliseconds kDeadline{600};
+  static constexpr milliseconds kSlack{500};  // in which a response may follow the deadline
+
+  std::shared_ptr<RawConnection> other_;
+
+  void start_beside_other_upload() {
+    config["limits"]["memory_mb"] = kUploadMemoryMb;
+    host_ = std::make_unique<RawHost>(io);
+    discovery.list.push_back(target("s-raw", host_->endpoint));
+    start();
+    other_ = upload_to_stopped_host(kOtherBytes, kOtherBytes - 1, milliseconds(15'000));
+  }
+  // Sends this part of a body, and waits until the host has the head and reads no further.
+  std::shared_ptr<RawConnection> upload_to_stopped_host(std::size_t length, std::size_t sent,
+                                                        milliseconds deadline) {
+    const std::size_t count = host_->connections.size() + 1;
+    auto c = raw_client();
+    c->send("POST /write HTTP/1.1\r\nHost: x\r\nX-Class: write\r\nX-Request-Id: u" +
+            std::to_string(count) + "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) +
+            "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" +
+            std::string(std::min(sent, kFirstPart), 'x'));
+    EXPECT_TRUE(until([&] {
+      return host_->connections.size() == count && host_->connections.back()->has("\r\n\r\n");
+    }));
+    host_->connections.back()->paused = true;
+    c->send(std::string(sent - std::min(sent, kFirstPart), 'x'));
+    return c;
+  }
+  // From now until a response has come.
+  milliseconds time_to_response(RawConnection& c) {
+    const auto started_at = Clock::now();
+    EXPECT_TRUE(until([&] { return c.has("\r\n\r\n"); }));
+    return std::chrono::duration_cast<milliseconds>(Clock::now() - started_at);
+  }
+
+  static constexpr std::size_t kFirstPart = 70'000;  // more than is buffered
+};
+
+TEST_F(PausedUploadTest, UploadThatFitsAfterOthersLeftGetsResponseByDeadline) {
+  start_beside_other_upload();
+  auto c = upload_to_stopped_host(450'000, 450'000, kDeadline);
+  pass(milliseconds(200));
+  other_->close();
+  EXPECT_LE(time_to_response(*c), kDeadline + kSlack);
+}
+
+// Guards against an upload that is paused for memory and not rejected in time because memory is
+// free at the moment of the check.
+TEST_F(PausedUploadTest, UploadThatNeverFitsGetsResponseByDeadline) {
+  start_beside_other_upload();
+  auto c = upload_to_stopped_host(4'000'000, 4'000'000, kDeadline);
+  pass(milliseconds(200));
+  other_->close();
+  EXPECT_LE(time_to_response(*c), kDeadline + kSlack);
+}
+
+TEST_F(PausedUploadTest, UploadIsServedWhenOthersLeftAndItsHostReadsOn) {
+  start_beside_other_upload();
+  auto c = upload_to_stopped_host(800'000, 800'000, milliseconds(5000));
+  pass(milliseconds(200));
+  other_->close();
+  auto upstream = host_->connections.back();
+  upstream->resume();
+  ASSERT_TRUE(until([&] { return upstream->body_size() == 800'000; }));
+  upstream->send(response_text(200, "", "done"));
+  EXPECT_TRUE(until([&] { return c->has("done"); }));
+}
+
+// An upload is not rejected while its last byte can't have been sent.
+TEST_F(PausedUploadTest, SlowUploadIsNotRejectedBeforeItsEnd) {
+  start_beside_other_upload();
+  constexpr std::size_t kBytes = 600'000;
+  constexpr std::size_t kPieceBytes = 2'000;
+  constexpr std::size_t kSentAtOnce = 300'000;
+  auto c = upload_to_stopped_host(kBytes, kSentAtOnce, kDeadline);
+  std::size_t sent = kSentAtOnce;
+  for (int i = 0; i < 20; ++i, sent += kPieceBytes) {
+    pass(milliseconds(50));
+    c->send(std::string(kPieceBytes, 'x'));
+  }
+  EXPECT_TRUE(c->received.empty()) << c->received;
+  auto upstream = host_->connections.back();
+  upstream->resume();
+  c->send(std::string(kBytes - sent, 'x'));
+  ASSERT_TRUE(until([&] { return upstream->body_size() == kBytes || !c->received.empty(); }));
+  upstream->send(response_text(200, "", "done"));
+  EXPECT_TRUE(until([&] { return c->has("done"); }));
+}
+
 }  // namespace
 }  // namespace gateway::testing
--- a/tests/lab/client_pressure_test.cpp
+++ b/tests/lab/client_pressure_test.cpp
@@ -216,6 +216,22 @@
   EXPECT_EQ(result.ledger.violations(), 0u) << summary(result);
 }
 
+// Guards against uploads that are paused for memory while others return and take it: their
+// responses came seconds after the deadline, or never.
+TEST(ClientPressure, ManyUploadsBesideFullMemoryGetResponsesByDeadline) {
+  SoakPlan plan = small_gateway_plan();
+  plan.clients.rate = 80;
+  plan.clients.requests = 640;
+  plan.clients.fast_upload_share = 0.5;
+  plan.clients.max_fast_upload_bytes = 4'000'000;
+  plan.host.stuck_share = 0.3;
+  plan.host.slow_read_share = 0.7;
+  const SoakResult result = run(plan);
+  EXPECT_TRUE(result.process_failures.empty()) << summary(result);
+  expect_within_memory_limit(plan, result);
+  EXPECT_EQ(result.ledger.violations(), 0u) << summary(result);
+}
+
 // Guards against an id that is forgotten with its last attempt: the request of a client that had
 // left ran again when its id came back.
 TEST(ClientPressure, RequestOfReturningClientIsNotExecutedAgain) {
