Fleet: names of successors are a header of their own; findings of the linter

Cause: operator_file.cpp needed the whole fleet member for one check of a name, and the linter has findings in new files (case of fixture members, a parameter by value, an unused using).

Change: successor_name.hpp; the rest renamed or moved. No behaviour changes, but the error about such a name says what it must not end in.

--- a/src/fleet_agent/fleet_agent.cpp
+++ b/src/fleet_agent/fleet_agent.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "fleet_agent/fleet_member.hpp"
+#include "fleet_agent/successor_name.hpp"
 
 namespace gateway::fleet_agent {
 namespace {
@@ -55,13 +56,13 @@
   FleetMember& active() { return successor_ ? *successor_ : *member_; }
   const FleetMember& active() const { return successor_ ? *successor_ : *member_; }
 
-  void on_hosts(const std::vector<std::string>& uids) {
-    hosts_ = uids;
+  void on_hosts(std::vector<std::string> uids) {
+    hosts_ = std::move(uids);
     if (successor_) {
-      successor_->on_hosts(uids);
+      successor_->on_hosts(hosts_);
     }
     if (member_) {
-      member_->on_hosts(uids);
+      member_->on_hosts(hosts_);
     }
   }
   void leave() {
@@ -180,7 +181,7 @@
 }
 
 void FleetAgent::on_hosts(std::vector<std::string> uids) {
-  impl_->on_hosts(uids);
+  impl_->on_hosts(std::move(uids));
 }
 
 std::string FleetAgent::status_json() const {
--- a/src/fleet_agent/fleet_member.cpp
+++ b/src/fleet_agent/fleet_member.cpp
@@ -8,18 +8,15 @@
 #include <optional>
 #include <utility>
 
-#include "fleet_agent/event_log.hpp"
-#include "membership/transport.hpp"
+#include "fleet_agent/successor_name.hpp"
 
 namespace gateway::fleet_agent {
 
-using fleet_state::FleetState;
 using fleet_state::Time;
 using nlohmann::ordered_json;
 
 namespace {
 
-constexpr std::string_view kSuccessorSuffix = "+next";
 constexpr auto kTickInterval = std::chrono::milliseconds(100);
 constexpr unsigned kTicksPerGaugeLine = 10;  // one line of gauges per second
 // Members to which an urgent update is sent without waiting for a protocol message to carry it, and
@@ -42,15 +39,6 @@
 
 }  // namespace
 
-bool is_successor_name(std::string_view name) {
-  return name.ends_with(kSuccessorSuffix);
-}
-
-std::string successor_name_of(const std::string& name) {
-  return name.substr(0, membership::kMaxNameBytes - kSuccessorSuffix.size()) +
-         std::string(kSuccessorSuffix);
-}
-
 FleetMember::FleetMember(boost::asio::ip::udp::socket socket, Config config, MemberRole role,
                          GatewayControls controls)
     : config_(std::move(config)),
--- a/src/fleet_agent/fleet_member.hpp
+++ b/src/fleet_agent/fleet_member.hpp
@@ -31,10 +31,6 @@
   successor
 };
 
-/// The name of the successor of a member. Tells the other members that it issues no tokens.
-std::string successor_name_of(const std::string& name);
-bool is_successor_name(std::string_view name);
-
 /// Used on the event loop's thread only.
 class FleetMember {
  public:
--- a/src/fleet_agent/operator_file.cpp
+++ b/src/fleet_agent/operator_file.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "fleet_agent/config_section.hpp"
-#include "fleet_agent/fleet_member.hpp"
+#include "fleet_agent/successor_name.hpp"
 #include "membership/codec.hpp"
 
 namespace gateway::fleet_agent {
@@ -36,7 +36,8 @@
                              std::to_string(membership::kMaxNameBytes) + " bytes");
   }
   if (is_successor_name(config.membership.name)) {
-    section.fail("name", "ends like the name of a successor; expected another end");
+    section.fail("name", "ends in \"" + std::string(kSuccessorSuffix) +
+                             "\", as names of successors do; expected another name");
   }
 }
 
--- a/tests/gateway/resource_monitor_test.cpp
+++ b/tests/gateway/resource_monitor_test.cpp
@@ -26,43 +26,43 @@
   // Holds so many bytes in small blocks. Blocks that are kept lie between those that are freed, so
   // that the allocator keeps the free ones.
   void hold(std::size_t bytes) {
-    while (held_ > bytes) {
-      http::release_memory(blocks_.at(--held_blocks_));
-      held_ -= kBlockBytes;
+    while (held > bytes) {
+      http::release_memory(blocks.at(--held_blocks));
+      held -= kBlockBytes;
     }
-    while (held_ < bytes) {
-      if (held_blocks_ == blocks_.size()) {
-        blocks_.emplace_back();
-        if (blocks_.size() % kBlocksPerSeparator == 0) {
-          separators_.emplace_back(kSeparatorBytes, 's');
+    while (held < bytes) {
+      if (held_blocks == blocks.size()) {
+        blocks.emplace_back();
+        if (blocks.size() % kBlocksPerSeparator == 0) {
+          separators.emplace_back(kSeparatorBytes, 's');
         }
       }
-      blocks_.at(held_blocks_++) = std::string(kBlockBytes, 'x');
-      held_ += kBlockBytes;
+      blocks.at(held_blocks++) = std::string(kBlockBytes, 'x');
+      held += kBlockBytes;
     }
   }
   void pass(std::chrono::milliseconds time) {
-    for (const auto end = clock_.now() + time; clock_.now() < end;) {
-      clock_.advance(end);
+    for (const auto end = clock.now() + time; clock.now() < end;) {
+      clock.advance(end);
     }
   }
 
   static constexpr std::size_t kSeparatorBytes = 40;
   static constexpr std::size_t kBlocksPerSeparator = 64;
 
-  ManualClock clock_;
-  event_log::EventLog log_{{true, 100}, [](std::string_view) {
-                           }};
-  std::size_t held_ = 0;
-  std::size_t held_blocks_ = 0;
-  std::vector<std::string> blocks_;
-  std::vector<std::string> separators_;
-  ResourceMonitor monitor_{clock_,
-                           log_,
-                           {[] { return nlohmann::ordered_json(); },
-                            [this] {
-                              return held_;
-                            }}};
+  ManualClock clock;
+  event_log::EventLog log{{true, 100}, [](std::string_view) {
+                          }};
+  std::size_t held = 0;
+  std::size_t held_blocks = 0;
+  std::vector<std::string> blocks;
+  std::vector<std::string> separators;
+  ResourceMonitor monitor{clock,
+                          log,
+                          {[] { return nlohmann::ordered_json(); },
+                           [this] {
+                             return held;
+                           }}};
 };
 
 // Guards against free memory that stays resident because the last part of what was held was freed
--- a/tests/gateway/short_memory_test.cpp
+++ b/tests/gateway/short_memory_test.cpp
@@ -17,15 +17,14 @@
 
   void start_with_short_memory() {
     config["limits"]["memory_mb"] = kMemoryMb;
-    host_ = std::make_unique<RawHost>(io);
-    discovery.list.push_back(target("s-raw", host_->endpoint));
+    host = std::make_unique<RawHost>(io);
+    discovery.list.push_back(target("s-raw", host->endpoint));
     start();
   }
   std::shared_ptr<RawConnection> request_at_host() {
-    EXPECT_TRUE(until([&] {
-      return !host_->connections.empty() && host_->connections.front()->has("\r\n\r\n");
-    }));
-    return host_->connections.front();
+    EXPECT_TRUE(until(
+        [&] { return !host->connections.empty() && host->connections.front()->has("\r\n\r\n"); }));
+    return host->connections.front();
   }
   std::shared_ptr<RawConnection> raw_client() {
     return RawConnection::connect(io, gateway->local_endpoint());
@@ -40,7 +39,7 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
   }
 
-  std::unique_ptr<RawHost> host_;
+  std::unique_ptr<RawHost> host;
 };
 
 // Guards against a response without memory that is passed on in parts, and then fails or comes too
@@ -62,7 +61,7 @@
   ASSERT_TRUE(until([&] { return requests_on(*upstream) == 2; }));
   upstream->send(response_text(200, "", "next"));
   ASSERT_TRUE(until([&] { return c->has("next"); }));
-  EXPECT_EQ(host_->connections.size(), 1u);
+  EXPECT_EQ(host->connections.size(), 1u);
 }
 
 TEST_F(ShortMemoryTest, ResponseThatIsNotWholeAtDeadlineFails) {
@@ -93,9 +92,9 @@
   upstream->send(head_of_length(kBodyBytes) + pattern(kBodyBytes / 2));
   upstream->shut_down_sending();
   ASSERT_TRUE(until([&] {
-    return host_->connections.size() == 2 && requests_on(*host_->connections.back()) == 1;
+    return host->connections.size() == 2 && requests_on(*host->connections.back()) == 1;
   }));
-  host_->connections.back()->send(response_text(200, "", "second"));
+  host->connections.back()->send(response_text(200, "", "second"));
   ASSERT_TRUE(until([&] { return !c->responses.empty(); }));
   EXPECT_EQ(c->responses.front().body(), "second");
 }
@@ -132,28 +131,28 @@
   static constexpr milliseconds kDeadline{600};
   static constexpr milliseconds kSlack{500};  // in which a response may follow the deadline
 
-  std::shared_ptr<RawConnection> other_;
+  std::shared_ptr<RawConnection> other;
 
   void start_beside_other_upload() {
     config["limits"]["memory_mb"] = kUploadMemoryMb;
-    host_ = std::make_unique<RawHost>(io);
-    discovery.list.push_back(target("s-raw", host_->endpoint));
+    host = std::make_unique<RawHost>(io);
+    discovery.list.push_back(target("s-raw", host->endpoint));
     start();
-    other_ = upload_to_stopped_host(kOtherBytes, kOtherBytes - 1, milliseconds(15'000));
+    other = upload_to_stopped_host(kOtherBytes, kOtherBytes - 1, milliseconds(15'000));
   }
   // Sends this part of a body, and waits until the host has the head and reads no further.
   std::shared_ptr<RawConnection> upload_to_stopped_host(std::size_t length, std::size_t sent,
                                                         milliseconds deadline) {
-    const std::size_t count = host_->connections.size() + 1;
+    const std::size_t count = host->connections.size() + 1;
     auto c = raw_client();
     c->send("POST /write HTTP/1.1\r\nHost: x\r\nX-Class: write\r\nX-Request-Id: u" +
             std::to_string(count) + "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) +
             "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" +
             std::string(std::min(sent, kFirstPart), 'x'));
     EXPECT_TRUE(until([&] {
-      return host_->connections.size() == count && host_->connections.back()->has("\r\n\r\n");
+      return host->connections.size() == count && host->connections.back()->has("\r\n\r\n");
     }));
-    host_->connections.back()->paused = true;
+    host->connections.back()->paused = true;
     c->send(std::string(sent - std::min(sent, kFirstPart), 'x'));
     return c;
   }
@@ -171,7 +170,7 @@
   start_beside_other_upload();
   auto c = upload_to_stopped_host(450'000, 450'000, kDeadline);
   pass(milliseconds(200));
-  other_->close();
+  other->close();
   EXPECT_LE(time_to_response(*c), kDeadline + kSlack);
 }
 
@@ -181,7 +180,7 @@
   start_beside_other_upload();
   auto c = upload_to_stopped_host(4'000'000, 4'000'000, kDeadline);
   pass(milliseconds(200));
-  other_->close();
+  other->close();
   EXPECT_LE(time_to_response(*c), kDeadline + kSlack);
 }
 
@@ -189,8 +188,8 @@
   start_beside_other_upload();
   auto c = upload_to_stopped_host(800'000, 800'000, milliseconds(5000));
   pass(milliseconds(200));
-  other_->close();
-  auto upstream = host_->connections.back();
+  other->close();
+  auto upstream = host->connections.back();
   upstream->resume();
   ASSERT_TRUE(until([&] { return upstream->body_size() == 800'000; }));
   upstream->send(response_text(200, "", "done"));
@@ -210,7 +209,7 @@
     c->send(std::string(kPieceBytes, 'x'));
   }
   EXPECT_TRUE(c->received.empty()) << c->received;
-  auto upstream = host_->connections.back();
+  auto upstream = host->connections.back();
   upstream->resume();
   c->send(std::string(kBytes - sent, 'x'));
   ASSERT_TRUE(until([&] { return upstream->body_size() == kBytes || !c->received.empty(); }));
