--- a/tests/gateway/late_body_test.cpp
+++ b/tests/gateway/late_body_test.cpp
@@ -52,12 +52,6 @@
  protected:
   using Clock = std::chrono::steady_clock;
 
-  void pass(milliseconds time) {
-    bool is_over = false;
-    asio::steady_timer timer(io, time);
-    timer.async_wait([&](error_code) { is_over = true; });
-    EXPECT_TRUE(until([&] { return is_over; }));
-  }
   // The connection that has carried this many requests.
   std::shared_ptr<RawConnection> request_at_host(RawHost& host, std::size_t count) {
     EXPECT_TRUE(until([&] {
@@ -82,15 +76,15 @@
   WrittenResponse write_response(RawConnection& connection) {
     const LateBodyCase& late_body = GetParam();
     const bool is_chunked = late_body.framing == Framing::chunked;
-    pass(milliseconds(late_body.head_after_ms));
+    run_loop_for(milliseconds(late_body.head_after_ms));
     connection.send(head_of_response(late_body.framing));
-    pass(milliseconds(late_body.body_after_ms));
+    run_loop_for(milliseconds(late_body.body_after_ms));
     WrittenResponse written;
     for (int i = 0; i < late_body.pieces; ++i) {
       const std::string piece = pattern(late_body.piece_bytes);
       written.body += piece;
       connection.send(is_chunked ? chunk_of(piece) : piece);
-      pass(milliseconds(late_body.piece_interval_ms));
+      run_loop_for(milliseconds(late_body.piece_interval_ms));
       if (i == 0) {
         written.began_at = Clock::now() - milliseconds(late_body.piece_interval_ms);
       }
--- a/tests/gateway/races_test.cpp
+++ b/tests/gateway/races_test.cpp
@@ -61,13 +61,6 @@
   bool has_only_client_connections(std::size_t clients) {
     return gateway->connections() == clients;
   }
-  // Runs the event loop for this time.
-  void run_loop_for(std::chrono::milliseconds time) {
-    asio::steady_timer timer(io, time);
-    bool expired = false;
-    timer.async_wait([&](error_code) { expired = true; });
-    ASSERT_TRUE(until([&] { return expired; }));
-  }
   json& ceilings() { return config["settings"]["ceilings"]; }
 };
 
--- a/tests/gateway/short_memory_test.cpp
+++ b/tests/gateway/short_memory_test.cpp
@@ -29,12 +29,6 @@
   std::shared_ptr<RawConnection> raw_client() {
     return RawConnection::connect(io, gateway->local_endpoint());
   }
-  void pass(milliseconds time) {
-    bool is_over = false;
-    asio::steady_timer timer(io, time);
-    timer.async_wait([&](error_code) { is_over = true; });
-    EXPECT_TRUE(until([&] { return is_over; }));
-  }
   static std::string head_of_length(std::size_t bytes) {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
   }
@@ -51,12 +45,12 @@
   c->send(request_text("write"));
   auto upstream = request_at_host();
   upstream->send(head_of_length(kBodyBytes) + body.substr(0, kBodyBytes / 2));
-  pass(milliseconds(300));
+  run_loop_for(milliseconds(300));
   EXPECT_TRUE(c->received.empty());
   upstream->send(body.substr(kBodyBytes / 2));
   ASSERT_TRUE(until([&] { return c->body_size() == kBodyBytes; }));
   EXPECT_TRUE(c->body() == body);
-  pass(milliseconds(200));  // the connection to the host may be used again
+  run_loop_for(milliseconds(200));  // the connection to the host may be used again
   c->send(request_text("write"));
   ASSERT_TRUE(until([&] { return requests_on(*upstream) == 2; }));
   upstream->send(response_text(200, "", "next"));
@@ -116,7 +110,7 @@
   c->send(request_text("write"));
   auto upstream = request_at_host();
   upstream->send(head_of_length(6) + "abc");
-  pass(milliseconds(200));
+  run_loop_for(milliseconds(200));
   upstream->send("def");
   EXPECT_TRUE(until([&] { return c->has("abcdef"); }));
 }
@@ -169,7 +163,7 @@
 TEST_F(PausedUploadTest, UploadThatFitsAfterOthersLeftGetsResponseByDeadline) {
   start_beside_other_upload();
   auto c = upload_to_stopped_host(450'000, 450'000, kDeadline);
-  pass(milliseconds(200));
+  run_loop_for(milliseconds(200));
   other->close();
   EXPECT_LE(time_to_response(*c), kDeadline + kSlack);
 }
@@ -179,7 +173,7 @@
 TEST_F(PausedUploadTest, UploadThatNeverFitsGetsResponseByDeadline) {
   start_beside_other_upload();
   auto c = upload_to_stopped_host(4'000'000, 4'000'000, kDeadline);
-  pass(milliseconds(200));
+  run_loop_for(milliseconds(200));
   other->close();
   EXPECT_LE(time_to_response(*c), kDeadline + kSlack);
 }
@@ -187,7 +181,7 @@
 TEST_F(PausedUploadTest, UploadIsServedWhenOthersLeftAndItsHostReadsOn) {
   start_beside_other_upload();
   auto c = upload_to_stopped_host(800'000, 800'000, milliseconds(5000));
-  pass(milliseconds(200));
+  run_loop_for(milliseconds(200));
   other->close();
   auto upstream = host->connections.back();
   upstream->resume();
@@ -205,7 +199,7 @@
   auto c = upload_to_stopped_host(kBytes, kSentAtOnce, kDeadline);
   std::size_t sent = kSentAtOnce;
   for (int i = 0; i < 20; ++i, sent += kPieceBytes) {
-    pass(milliseconds(50));
+    run_loop_for(milliseconds(50));
     c->send(std::string(kPieceBytes, 'x'));
   }
   EXPECT_TRUE(c->received.empty()) << c->received;
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <memory>
 #include <set>
 #include <utility>
@@ -58,6 +60,13 @@
   ::testing::AssertionResult until(Predicate predicate) {
     return run_until(io, predicate);
   }
+  // Runs the event loop for this time.
+  void run_loop_for(std::chrono::milliseconds time) {
+    asio::steady_timer timer(io, time);
+    bool expired = false;
+    timer.async_wait([&](error_code) { expired = true; });
+    ASSERT_TRUE(until([&] { return expired; }));
+  }
   std::shared_ptr<Client> client() { return Client::connect(io, gateway->local_endpoint()); }
   // A request of a class ("read", "write" or "put") with an id of its own.
   std::string request_text(const std::string& class_name, const std::string& headers = "",
